--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -12,6 +12,7 @@
 from sassafras_policy.configuration import indexes
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
+from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import authentication
@@ -67,6 +68,7 @@
       settings: The node's settings.
       clock: Source of time.
       configuration: The configuration in force; fed by store and peers.
+      roster: The roster in force; fed by store and peers.
       table: Membership; fed by peers, detector and the target's session.
       contexts: Call contexts of calls at the target beside the node.
       limiter: Rates of organisations.
@@ -94,6 +96,7 @@
         self.settings = settings
         self.clock = clock
         self.configuration = holders.Holder()
+        self.roster = roster_holder.RosterHolder()
         own = records.NodeRecord(
             node_id=settings.host.peer_address,
             availability_zone=settings.host.availability_zone,
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the stated bounds, on real processes on loopback."""
