Read each HTTP connection in one reader task instead of one task a call

Cause: every call opened a nursery, a watcher task and two time-out scopes, and a profile showed them beside h11 as the largest part of a call's CPU time. Change: one reader task for each connection feeds the parser and cancels the call in progress when the client goes away; one time-out scope for each request.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -21,43 +21,40 @@
 ) -> None:
     """Answers the requests of a connection, one after another."""
     connection = http_server.ServerConnection(stream, peer, runtime.http_limits)
-    while True:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.run_reader)
         try:
-            request = await connection.receive()
+            while await _serve_next(runtime, connection, handler):
+                pass
         except http_server.RequestRefusedError as error:
             await _refuse(connection, error)
-            return
-        if request is None:
-            return
-        runtime.drain.enter()
-        try:
-            answer = await _handle(connection, request, handler)
-            if answer is None:
-                return
-            await connection.send(answer)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-        finally:
-            runtime.drain.leave()
+            pass
+        nursery.cancel_scope.cancel()
 
 
-async def _handle(
+async def _serve_next(
+    runtime: runtimes.Runtime,
     connection: http_server.ServerConnection,
-    request: messages.Request,
     handler: Handler,
-) -> messages.Answer | None:
-    """Returns the answer, or None when the other side has gone away."""
-    answer: messages.Answer | None = None
-    async with trio.open_nursery() as nursery:
-
-        async def cancel_when_gone() -> None:
-            await connection.wait_disconnected()
-            nursery.cancel_scope.cancel()
-
-        nursery.start_soon(cancel_when_gone)
-        answer = await handler(request)
-        nursery.cancel_scope.cancel()
-    return answer
+) -> bool:
+    """Serves one request; returns False when the connection is done."""
+    request = await connection.receive()
+    if request is None:
+        return False
+    runtime.drain.enter()
+    try:
+        answer: messages.Answer | None = None
+        with trio.CancelScope() as scope:
+            connection.cancel_when_gone(scope)
+            answer = await handler(request)
+        connection.cancel_when_gone(None)
+        if answer is None:
+            return False
+        await connection.send(answer)
+        return True
+    finally:
+        runtime.drain.leave()
 
 
 async def _refuse(
--- a/packages/sassafras-standins/src/sassafras_standins/fleet/samples.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/samples.py
@@ -28,6 +28,7 @@
             documents.Route("desk", "POST", "/desk/**", "lodgement", True),
             documents.Route("accounts", "*", "/accounts/**", "status"),
             documents.Route("ledger", "GET", "/ledger/**", "status"),
+            documents.Route("ledger", "PUT", "/ledger/**", "status"),
             documents.Route("ledger", "POST", "/ledger/**", "settlement", True),
         ),
         organisations=(
--- a/packages/sassafras-standins/src/sassafras_standins/serving.py
+++ b/packages/sassafras-standins/src/sassafras_standins/serving.py
@@ -44,39 +44,34 @@
     connection = http_server.ServerConnection(
         stream, "client", http_server.ServerLimits(idle_timeout_s=600)
     )
-    try:
-        while True:
-            request = await connection.receive()
-            if request is None:
-                return
-            reply = await _handle(connection, request, handler)
-            if reply is None:
-                return
-            await connection.send(reply)
-    except (
-        http_server.RequestRefusedError,
-        trio.BrokenResourceError,
-        trio.ClosedResourceError,
-    ):
-        return
-    finally:
-        await trio.aclose_forcefully(stream)
-
-
-async def _handle(
-    connection: http_server.ServerConnection,
-    request: messages.Request,
-    handler: Handler,
-) -> messages.Answer | None:
-    """Stops the work when the client goes away, as real targets do."""
-    reply: messages.Answer | None = None
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.run_reader)
+        try:
+            while await _serve_next(connection, handler):
+                pass
+        except (
+            http_server.RequestRefusedError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
+            pass
+        nursery.cancel_scope.cancel()
+    await trio.aclose_forcefully(stream)
 
-        async def cancel_when_gone() -> None:
-            await connection.wait_disconnected()
-            nursery.cancel_scope.cancel()
 
-        nursery.start_soon(cancel_when_gone)
+async def _serve_next(
+    connection: http_server.ServerConnection, handler: Handler
+) -> bool:
+    """Serves one request; stops its work when the client goes away."""
+    request = await connection.receive()
+    if request is None:
+        return False
+    reply: messages.Answer | None = None
+    with trio.CancelScope() as scope:
+        connection.cancel_when_gone(scope)
         reply = await handler(request)
-        nursery.cancel_scope.cancel()
-    return reply
+    connection.cancel_when_gone(None)
+    if reply is None:
+        return False
+    await connection.send(reply)
+    return True
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -39,6 +39,9 @@
 class ServerConnection:
     """Reads requests from a stream and writes their answers, in order.
 
+    `run_reader` must run beside the task that calls `receive` and `send`. It
+    notices a client that goes away while its request is being served.
+
     Attributes:
       peer: Address of the other side, for errors and logs.
     """
@@ -52,8 +55,30 @@
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        self._read_ahead = bytearray()
+        self._received = bytearray()
         self._at_end = False
+        self._arrived = trio.lowlevel.ParkingLot()
+        self._consumed = trio.lowlevel.ParkingLot()
+        self._serving: trio.CancelScope | None = None
+
+    async def run_reader(self) -> None:
+        """Reads from the stream until the other side closes.
+
+        At most `header_bytes` or one read are held ahead of the parser, so a
+        client that pipelines without end is slowed down.
+        """
+        while not self._at_end:
+            try:
+                data = await self._stream.receive_some(_READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            self._received += data
+            self._at_end = not data
+            self._arrived.unpark_all()
+            while len(self._received) >= self._limits.header_bytes:
+                await self._consumed.park()
+        if self._serving is not None:
+            self._serving.cancel()
 
     async def receive(self) -> messages.Request | None:
         """Returns the next request, or None when the other side is done.
@@ -62,20 +87,34 @@
           RequestRefusedError: The request breaks HTTP/1.1 or a limit.
         """
         if self._connection.states[h11.SERVER] is h11.DONE:
+            if self._connection.states[h11.CLIENT] is not h11.DONE:
+                return None
             self._connection.start_next_cycle()
         elif self._connection.states[h11.SERVER] is not h11.IDLE:
             return None
-        if not await self._await_first_byte():
-            return None
-        with trio.move_on_after(self._limits.request_timeout_s):
+        limits = self._limits
+        began = False
+        with trio.CancelScope() as timeout:
+            timeout.deadline = trio.current_time() + limits.idle_timeout_s
+            if not self._connection.trailing_data[0] and not await self._read():
+                return None
+            began = True
+            timeout.deadline = trio.current_time() + limits.request_timeout_s
             return await self._receive_whole()
+        if not began:
+            return None
         raise RequestRefusedError(
             self.peer,
             408,
-            "the request was not complete within"
-            f" {self._limits.request_timeout_s:.0f} s",
+            f"the request was not complete in {limits.request_timeout_s:.0f} s",
         )
 
+    def cancel_when_gone(self, scope: trio.CancelScope | None) -> None:
+        """Cancels the scope when the client goes away; None ends that."""
+        self._serving = scope
+        if scope is not None and self._at_end:
+            scope.cancel()
+
     async def send(self, answer: messages.Answer) -> None:
         """Writes a whole answer in one write."""
         headers = [
@@ -91,63 +130,29 @@
             seconds = max(1, math.ceil(answer.retry_after_ms / 1000))
             headers.append((fields.RETRY_AFTER, str(seconds)))
         headers.append(("content-length", str(len(answer.body))))
-        if self._connection.their_state is h11.MUST_CLOSE or (
-            self._connection.their_state not in (h11.DONE, h11.MUST_CLOSE)
-        ):
+        if self._connection.their_state is not h11.DONE:
             headers.append(("connection", "close"))
         head = h11.Response(
             status_code=answer.status,
             headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
         )
         data = self._connection.send(head) or b""
-        if answer.body and self._connection.their_state is not h11.ERROR:
+        if answer.body:
             data += self._connection.send(h11.Data(data=answer.body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         await self._stream.send_all(data)
 
-    async def wait_disconnected(self) -> None:
-        """Returns when the other side closes; keeps what it sends meanwhile.
-
-        A pipelining caller may send its next request early. At most
-        `header_bytes` of it are read ahead; a caller that sends more is
-        watched again once its current request is answered.
-        """
-        while len(self._read_ahead) < self._limits.header_bytes:
-            try:
-                data = await self._stream.receive_some(
-                    self._limits.header_bytes
-                )
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            if not data:
-                self._at_end = True
-                return
-            self._read_ahead += data
-        await trio.sleep_forever()
-
     async def close(self) -> None:
         """Closes the stream at once."""
         await trio.aclose_forcefully(self._stream)
 
-    async def _await_first_byte(self) -> bool:
-        if self._connection.trailing_data[0] or self._read_ahead:
-            return True
-        with trio.move_on_after(self._limits.idle_timeout_s):
-            return await self._read()
-        return False
-
     async def _read(self) -> bool:
-        """Feeds more bytes to the parser; returns False at the end."""
-        if self._read_ahead:
-            data = bytes(self._read_ahead)
-            self._read_ahead.clear()
-        elif self._at_end:
-            data = b""
-        else:
-            try:
-                data = bytes(await self._stream.receive_some(_READ_BYTES))
-            except trio.BrokenResourceError:
-                data = b""
+        """Feeds received bytes to the parser; returns False at the end."""
+        while not self._received and not self._at_end:
+            await self._arrived.park()
+        data = bytes(self._received)
+        self._received.clear()
+        self._consumed.unpark_all()
         self._connection.receive_data(data)
         return bool(data)
 
