Record root requests and report service-level burn for the whole fleet

Cause: operators need to see how fast each objective uses its error budget, and nothing recorded how requests ended. The administration routes that serve the report are still missing.

--- a/packages/sassafras-node/src/sassafras_node/callers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/callers/session.py
@@ -1,11 +1,13 @@
 """The life of one connection from a caller."""
 
 from sassafras_policy.calls import messages
+from sassafras_wire.http import fields
 import trio
 
 from sassafras_node import http_session
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import entry
+from sassafras_node.reports import recorder
 
 
 async def serve(
@@ -14,6 +16,27 @@
     """Serves requests until the caller disconnects."""
 
     async def handle(request: messages.Request) -> messages.Answer:
-        return await entry.handle_root(runtime, request)
+        started = runtime.clock.now()
+        answer = await entry.handle_root(runtime, request)
+        runtime.recorder.record(
+            _series_key(runtime, request),
+            answer,
+            runtime.clock.now() - started,
+        )
+        return answer
 
     await http_session.serve(runtime, stream, peer, handle)
+
+
+def _series_key(
+    runtime: runtimes.Runtime, request: messages.Request
+) -> recorder.SeriesKey:
+    index = runtime.configuration.index
+    key = fields.bearer_key(request.headers)
+    organisation = index.find_organisation(key) if index and key else None
+    # Callers choose the path, so only configured services become series.
+    known = index is not None and index.has_service(request.service)
+    return recorder.SeriesKey(
+        service=request.service if known else "",
+        organisation=organisation.name if organisation else "",
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What the node recorded: metrics and the service-level burn report."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/reports/fleet.py
@@ -0,0 +1,151 @@
+"""Collects the recordings of all nodes for one report."""
+
+import dataclasses
+
+from hdrh import histogram
+from sassafras_base import errors
+from sassafras_policy.configuration import document as documents
+from sassafras_policy.objectives import burn
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
+import trio
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
+from sassafras_node.reports import recorder
+
+_TIMEOUT_S = 2.0
+_CONCURRENCY = 8
+_MAXIMUM_SERIES_SENT = 64
+
+
+@dataclasses.dataclass(slots=True)
+class MergedSeries:
+    """One service and organisation over all nodes.
+
+    Attributes:
+      windows: Counts for each window in seconds.
+      latency_ms: Latencies of requests that ran.
+    """
+
+    windows: dict[int, burn.Counts]
+    latency_ms: histogram.HdrHistogram
+
+
+@dataclasses.dataclass(slots=True)
+class FleetReport:
+    """The recordings of the fleet.
+
+    Attributes:
+      series: Merged series by service and organisation.
+      nodes: Nodes that are included.
+      missing: Nodes that did not answer, with the reason.
+      burns: Burn rates of the objectives.
+    """
+
+    series: dict[recorder.SeriesKey, MergedSeries]
+    nodes: list[str]
+    missing: list[str]
+    burns: list[burn.ObjectiveBurn] = dataclasses.field(default_factory=list)
+
+
+@handlers.message_handlers.register("report_fetch")
+async def handle_report_fetch(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> models.Message | None:
+    """Sends this node's recordings to a node that makes a report."""
+    del link, message
+    return own_report(runtime)
+
+
+def own_report(runtime: runtimes.Runtime) -> models.Report:
+    """Returns this node's recordings, the busiest series first."""
+    series = []
+    for key, recorded in runtime.recorder.series.items():
+        windows = runtime.recorder.windows(key)
+        series.append(
+            models.ReportSeries(
+                service=key.service,
+                organisation=key.organisation,
+                windows={
+                    window_s: (counts.total, counts.bad)
+                    for window_s, counts in windows.items()
+                },
+                latency_ms=recorded.latency_ms.encode(),
+            )
+        )
+    longest_s = max(burn.WINDOWS_S)
+    series.sort(key=lambda item: -item.windows[longest_s][0])
+    return models.Report(
+        node_id=runtime.table.own_id, series=series[:_MAXIMUM_SERIES_SENT]
+    )
+
+
+async def collect(runtime: runtimes.Runtime) -> FleetReport:
+    """Asks every node that is alive and merges the answers.
+
+    A node that does not answer within 2 s is listed as missing; the report
+    then covers the others.
+    """
+    report = FleetReport({}, [], [])
+    _add(report, own_report(runtime))
+    slots = trio.CapacityLimiter(_CONCURRENCY)
+
+    async def ask(node_id: str) -> None:
+        async with slots:
+            try:
+                with trio.fail_after(_TIMEOUT_S):
+                    _add(report, await _fetch(runtime, node_id))
+            except (errors.SassafrasError, trio.TooSlowError) as error:
+                report.missing.append(f"{node_id}: {error!r}")
+
+    async with trio.open_nursery() as nursery:
+        for record in runtime.table.peers:
+            nursery.start_soon(ask, record.node_id)
+    index = runtime.configuration.index
+    if index is not None:
+        report.burns = _evaluate(report, index.document.objectives)
+    return report
+
+
+async def _fetch(runtime: runtimes.Runtime, node_id: str) -> models.Report:
+    async with trio.open_nursery() as nursery:
+        link = await links.open_link(nursery, node_id, runtime.credentials)
+        try:
+            await link.send(models.ReportFetch())
+            return await link.expect(models.Report)
+        finally:
+            await link.abort()
+            nursery.cancel_scope.cancel()
+    raise errors.ConnectionLostError("report.fetch", node_id, "interrupted")
+
+
+def _add(report: FleetReport, part: models.Report) -> None:
+    report.nodes.append(part.node_id)
+    for item in part.series:
+        key = recorder.SeriesKey(item.service, item.organisation)
+        merged = report.series.get(key)
+        if merged is None:
+            merged = MergedSeries({}, recorder.new_histogram())
+            report.series[key] = merged
+        for window_s, (total, bad) in item.windows.items():
+            known = merged.windows.get(window_s, burn.Counts())
+            merged.windows[window_s] = known.plus(burn.Counts(total, bad))
+        merged.latency_ms.decode_and_add(item.latency_ms)
+
+
+def _evaluate(
+    report: FleetReport, objectives: tuple[documents.Objective, ...]
+) -> list[burn.ObjectiveBurn]:
+    burns = []
+    for objective in objectives:
+        for key, merged in sorted(
+            report.series.items(), key=lambda pair: pair[0].organisation
+        ):
+            if key.service == objective.service and (
+                objective.organisation in ("*", key.organisation)
+            ):
+                burns.append(
+                    burn.evaluate(objective, key.organisation, merged.windows)
+                )
+    return burns
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/reports/recorder.py
@@ -0,0 +1,116 @@
+"""Records how root requests ended, for each service and organisation."""
+
+import dataclasses
+
+from hdrh import histogram
+from sassafras_base import clock as clocks
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.configuration import holder as holders
+from sassafras_policy.objectives import burn
+from sassafras_policy.objectives import window_counter
+
+MAXIMUM_SERIES = 256
+HIGHEST_LATENCY_MS = 60_000
+_LOWEST_LATENCY_MS = 1
+_SIGNIFICANT_DIGITS = 2
+
+# These refusals are the caller's own doing and use no error budget.
+_CALLER_FAULTS = frozenset(
+    [
+        outcomes.Reason.BAD_REQUEST,
+        outcomes.Reason.NO_ROUTE,
+        outcomes.Reason.UNAUTHENTICATED,
+        outcomes.Reason.FORBIDDEN,
+        outcomes.Reason.ORGANISATION_LIMIT,
+        outcomes.Reason.BODY_TOO_LARGE,
+    ]
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeriesKey:
+    """What a series of records is about."""
+
+    service: str
+    organisation: str
+
+
+class Series:
+    """Records of one service and organisation.
+
+    Attributes:
+      windows: Requests and failures over the windows of the burn report.
+      latency_ms: Latencies of requests that ran, since the node started.
+    """
+
+    def __init__(self) -> None:
+        self.windows = window_counter.WindowCounter()
+        self.latency_ms = new_histogram()
+
+
+class Recorder:
+    """Keeps a bounded number of series.
+
+    Attributes:
+      endings: Root requests by service, organisation, outcome and reason.
+    """
+
+    def __init__(
+        self, configuration: holders.Holder, clock: clocks.Clock
+    ) -> None:
+        self._configuration = configuration
+        self._clock = clock
+        self._series: dict[SeriesKey, Series] = {}
+        self.endings: dict[tuple[SeriesKey, str, str], int] = {}
+
+    @property
+    def series(self) -> dict[SeriesKey, Series]:
+        """The series by key."""
+        return self._series
+
+    def record(
+        self, key: SeriesKey, answer: messages.Answer, latency_s: float
+    ) -> None:
+        """Records how one root request ended."""
+        known = self._series.get(key)
+        if known is None:
+            if len(self._series) >= MAXIMUM_SERIES:
+                return
+            known = self._series[key] = Series()
+        ending = (key, str(answer.outcome), str(answer.reason))
+        self.endings[ending] = self.endings.get(ending, 0) + 1
+        if answer.reason in _CALLER_FAULTS:
+            return
+        latency_ms = latency_s * 1000
+        ran = answer.outcome is outcomes.Outcome.RAN
+        if ran:
+            known.latency_ms.record_value(
+                min(HIGHEST_LATENCY_MS, max(1, round(latency_ms)))
+            )
+        limit_ms = self._latency_limit_ms(key)
+        is_bad = not ran or answer.status >= 500
+        is_bad = is_bad or (limit_ms > 0 and latency_ms > limit_ms)
+        known.windows.record(is_bad, self._clock.now())
+
+    def windows(self, key: SeriesKey) -> dict[int, burn.Counts]:
+        """Returns the counts of a series for each window."""
+        return self._series[key].windows.windows(self._clock.now())
+
+    def _latency_limit_ms(self, key: SeriesKey) -> int:
+        index = self._configuration.index
+        if index is None:
+            return 0
+        for objective in index.document.objectives:
+            if objective.service == key.service and (
+                objective.organisation in ("*", key.organisation)
+            ):
+                return objective.latency_ms
+        return 0
+
+
+def new_histogram() -> histogram.HdrHistogram:
+    """Returns an empty histogram of latencies in milliseconds."""
+    return histogram.HdrHistogram(
+        _LOWEST_LATENCY_MS, HIGHEST_LATENCY_MS, _SIGNIFICANT_DIGITS
+    )
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -26,6 +26,7 @@
 from sassafras_node.peers import outbox
 from sassafras_node.peers import pool as peer_pool
 from sassafras_node.peers import views
+from sassafras_node.reports import recorder
 from sassafras_node.targets import beside
 
 
@@ -81,6 +82,7 @@
       peer_pools: Call connections to peers.
       silence: When neighbours were last heard.
       outbox: Membership changes still to be sent.
+      recorder: How root requests ended; fed by callers' sessions.
       supervisors: Running supervisors by path.
       changed: Set and replaced when membership or configuration changes.
       watch_wanted: Set while this node is its availability zone's watcher.
@@ -134,6 +136,7 @@
         )
         self.silence = silence.SilenceTracker()
         self.outbox = outbox.Outbox(self.table)
+        self.recorder = recorder.Recorder(self.configuration, clock)
         self.supervisors: dict[str, supervision.Supervisor] = {}
         self.changed = trio.Event()
         self.watch_wanted = trio.Event()
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -16,6 +16,7 @@
 from sassafras_node.callers import supervisor as callers
 from sassafras_node.membership import supervisor as membership
 from sassafras_node.peers import supervisor as peers
+from sassafras_node.reports import fleet as _report_handlers  # noqa: F401
 from sassafras_node.store import supervisor as store
 from sassafras_node.targets import announcements
 from sassafras_node.targets import supervisor as targets
--- a/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
@@ -83,6 +83,10 @@
         """Returns an organisation by name, or None."""
         return self._organisations.get(name)
 
+    def has_service(self, name: str) -> bool:
+        """Returns whether the document has a service of this name."""
+        return name in self._calls
+
     def reachable(self, service: str) -> frozenset[str]:
         """Returns the service and all services below it in the call graph."""
         return self._reachable.get(service, frozenset([service]))
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -173,3 +173,30 @@
     type: Literal["document"] = "document"
     kind: str
     content: bytes
+
+
+class ReportSeries(pydantic.BaseModel):
+    """Recordings of one service and organisation."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    service: str
+    organisation: str
+    windows: dict[int, tuple[int, int]]
+    latency_ms: bytes
+
+
+@message_types.register("report_fetch")
+class ReportFetch(Message):
+    """Asks a node for its recordings."""
+
+    type: Literal["report_fetch"] = "report_fetch"
+
+
+@message_types.register("report")
+class Report(Message):
+    """A node's recordings."""
+
+    type: Literal["report"] = "report"
+    node_id: str
+    series: list[ReportSeries] = []
--- /dev/null
+++ b/tests/contract/test_burn_report.py
@@ -0,0 +1,141 @@
+"""Burn rates, their windows and the forms of the report."""
+
+import json
+
+import pytest
+from sassafras_base import clock as clocks
+from sassafras_node.reports import fleet
+from sassafras_node.reports import recorder
+from sassafras_node.reports import renderers
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.configuration import document as documents
+from sassafras_policy.configuration import holder as holders
+from sassafras_policy.objectives import burn
+from sassafras_policy.objectives import window_counter
+
+OBJECTIVE = documents.Objective("desk", "*", success_ratio=0.99, latency_ms=50)
+KEY = recorder.SeriesKey("desk", "bank <main>")
+
+
+def _windows(short, long):
+    return {300: short, 1800: short, 3600: long, 21600: long}
+
+
+@pytest.mark.parametrize(
+    ("short", "long", "verdict"),
+    [
+        (burn.Counts(0, 0), burn.Counts(0, 0), burn.Verdict.NO_DATA),
+        (burn.Counts(100, 0), burn.Counts(1000, 0), burn.Verdict.OK),
+        # A short spike alone must not wake anybody.
+        (burn.Counts(100, 50), burn.Counts(10000, 50), burn.Verdict.OK),
+        # An old cause that has ended must not either.
+        (burn.Counts(100, 0), burn.Counts(1000, 500), burn.Verdict.OK),
+        (burn.Counts(100, 10), burn.Counts(1000, 100), burn.Verdict.TICKET),
+        (burn.Counts(100, 20), burn.Counts(1000, 200), burn.Verdict.PAGE),
+    ],
+)
+def test_an_alert_needs_both_windows(short, long, verdict):
+    """Guards against alerts on spikes and alerts that outlive their cause."""
+    result = burn.evaluate(OBJECTIVE, "bank", _windows(short, long))
+    assert result.verdict is verdict
+
+
+def test_requests_leave_the_windows_as_time_passes():
+    """Guards against counts that never age or that age too early."""
+    counter = window_counter.WindowCounter()
+    counter.record(is_bad=True, now=1000.0)
+    counter.record(is_bad=False, now=1100.0)
+    assert counter.windows(1110.0)[300] == burn.Counts(2, 1)
+    assert counter.windows(1000.0 + 360)[300] == burn.Counts(1, 0)
+    assert counter.windows(1000.0 + 360)[3600] == burn.Counts(2, 1)
+    assert counter.windows(1000.0 + 22000)[21600] == burn.Counts(0, 0)
+
+
+def _recorder():
+    configuration = holders.Holder()
+    configuration.offer(documents.Document(revision=1, objectives=(OBJECTIVE,)))
+    return recorder.Recorder(configuration, clocks.TrioClock())
+
+
+@pytest.mark.parametrize(
+    ("answer", "latency_s", "expected"),
+    [
+        (messages.Answer(outcomes.Outcome.RAN), 0.01, burn.Counts(1, 0)),
+        (messages.Answer(outcomes.Outcome.RAN), 0.06, burn.Counts(1, 1)),
+        (
+            messages.Answer(outcomes.Outcome.RAN, status=503),
+            0.01,
+            burn.Counts(1, 1),
+        ),
+        (
+            messages.refusal(outcomes.Reason.OVERLOAD, 503, "x"),
+            0.0,
+            burn.Counts(1, 1),
+        ),
+        (
+            messages.refusal(outcomes.Reason.ORGANISATION_LIMIT, 429, "x"),
+            0.0,
+            burn.Counts(0, 0),
+        ),
+        (
+            messages.refusal(outcomes.Reason.UNAUTHENTICATED, 401, "x"),
+            0.0,
+            burn.Counts(0, 0),
+        ),
+    ],
+)
+async def test_only_the_system_s_failures_use_the_budget(
+    answer, latency_s, expected
+):
+    """Guards against budgets spent by callers that break their own limits."""
+    recorded = _recorder()
+    recorded.record(KEY, answer, latency_s)
+    assert recorded.windows(KEY)[300] == expected
+
+
+async def test_the_number_of_series_is_bounded():
+    """Guards against memory that grows with made-up names."""
+    recorded = _recorder()
+    for number in range(recorder.MAXIMUM_SERIES + 10):
+        key = recorder.SeriesKey("desk", f"organisation-{number}")
+        recorded.record(key, messages.Answer(outcomes.Outcome.RAN), 0.001)
+    assert len(recorded.series) == recorder.MAXIMUM_SERIES
+
+
+def _report():
+    latency_ms = recorder.new_histogram()
+    for value in (5, 10, 400):
+        latency_ms.record_value(value)
+    windows = _windows(burn.Counts(100, 20), burn.Counts(1000, 200))
+    return fleet.FleetReport(
+        series={KEY: fleet.MergedSeries(windows, latency_ms)},
+        nodes=["10.0.0.1:7401"],
+        missing=["10.0.0.2:7401: timed out"],
+        burns=[burn.evaluate(OBJECTIVE, KEY.organisation, windows)],
+    )
+
+
+@pytest.mark.parametrize("name", renderers.renderers.names)
+def test_every_form_shows_the_verdict_and_the_missing_nodes(name):
+    """Guards against a report that hides gaps or alerts."""
+    text = renderers.renderers.get(name)(_report())
+    assert "page" in text
+    assert "10.0.0.2:7401" in text
+    assert name in renderers.CONTENT_TYPES
+
+
+def test_the_page_is_self_contained_and_escapes_names():
+    """Guards against pages that load from elsewhere or run a name."""
+    page = renderers.render_html(_report())
+    assert "bank &lt;main&gt;" in page
+    assert "bank <main>" not in page
+    assert "src=" not in page
+    assert "href=" not in page
+
+
+def test_the_json_form_can_be_parsed_and_holds_percentiles():
+    """Guards against scripts that cannot read the report."""
+    content = json.loads(renderers.render_json(_report()))
+    assert content["objectives"][0]["verdict"] == "page"
+    assert content["series"][0]["latency_ms"]["p99"] >= 400
