Write the roster to the store and spread it to every node

Cause: base shares and idempotency records need one agreed list of nodes; the roster types existed, but nothing wrote, spread or applied a roster. Change: the watcher of an availability zone adds live nodes with a target by compare-and-swap; the roster travels as a document of kind "roster" beside the configuration, and heartbeats carry its epoch; a node reports the applied epoch in its own record 0.3 s later. `forget` removes a lost node. Each epoch carries the ids of the settled epoch before it, so that a node that skips an epoch or restarts still knows every epoch that another node may use.

--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/membership/roster.py
@@ -0,0 +1,201 @@
+"""Keeps the roster in the store, applies it here and reports that.
+
+The watcher of an availability zone adds the nodes that it knows to be alive
+with a target. It waits until the epoch in the store is settled, so that any
+two nodes differ by at most one settled epoch. Nodes are removed by operators
+only, through `forget`.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+
+from sassafras_base import events
+from sassafras_policy.membership import records
+from sassafras_policy.membership import roster as rosters
+from sassafras_wire.membership import rosters as roster_models
+from sassafras_wire.peer import models
+from sassafras_wire.store import client as store_client
+import trio
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
+from sassafras_node.store import keys
+
+# Batches the nodes that start together into one epoch.
+_BATCH_S = 0.2
+_CHECK_INTERVAL_S = 2.0
+_RETRY_INTERVAL_S = 1.0
+# Tokens given from a larger share under the old epoch have expired by then,
+# so that a peer whose share grows after the report cannot exceed the burst.
+# It must be longer than the longest lifetime of transferred tokens.
+_REPORT_DELAY_S = 0.3
+_FORGET_ATTEMPTS = 5
+
+Step = Callable[[runtimes.Runtime], Awaitable[None]]
+
+
+class Forgotten(enum.Enum):
+    """How an attempt to forget a node ended."""
+
+    DONE = "done"
+    NOT_A_MEMBER = "not a member"
+    IS_ALIVE = "is alive"
+    CONFLICT = "conflict"
+
+
+@events.declare(411, "INFO")
+def roster_written(epoch: int, joined: int, forgotten: int) -> str:
+    """This node wrote a new epoch of the roster to the store."""
+    return f"wrote roster epoch {epoch}: {joined} joined, {forgotten} forgotten"
+
+
+@events.declare(412, "WARNING")
+def roster_store_failed(error: str) -> str:
+    """The roster in the store could not be read or written.
+
+    Nodes that are not members yet take tokens from those that are; it is
+    retried.
+    """
+    return f"roster not read or written: {error}"
+
+
+async def watch(runtime: runtimes.Runtime) -> None:
+    """Reads the roster once, then watches it while being the watcher."""
+    # A node that has restarted must not take an epoch from a peer that is
+    # behind the one that the node reported before.
+    await _guarded(runtime, _read)
+    while True:
+        await runtime.watch_wanted.wait()
+        await _guarded(runtime, _watch)
+        await trio.sleep(_RETRY_INTERVAL_S)
+
+
+async def extend(runtime: runtimes.Runtime) -> None:
+    """Adds members whenever this node is the watcher and may do so."""
+    while True:
+        await runtime.watch_wanted.wait()
+        changed = runtime.changed
+        if _additions(runtime, runtime.roster.current):
+            await trio.sleep(_BATCH_S)
+            await _guarded(runtime, _extend)
+        with trio.move_on_after(_CHECK_INTERVAL_S):
+            await changed.wait()
+
+
+async def report(runtime: runtimes.Runtime) -> None:
+    """Puts the applied epoch into the own record once it is safe to."""
+    while True:
+        changed = runtime.changed
+        epoch = runtime.roster.current.epoch
+        if epoch > runtime.table.own.roster_epoch:
+            await trio.sleep(_REPORT_DELAY_S)
+            runtime.table.update_own(roster_epoch=epoch)
+            continue
+        await changed.wait()
+
+
+async def forget(runtime: runtimes.Runtime, node_id: str) -> Forgotten:
+    """Removes a lost node from the roster, at an operator's request.
+
+    The operator thereby asserts that the host is gone: a node that still runs
+    and is cut off would go on with its old share.
+
+    Raises:
+      StoreUnavailableError: No answer came; the write may have happened, and
+        repeating the request is harmless.
+      StoreRefusedError: The store answered with an error.
+    """
+    known = runtime.table.get(node_id)
+    if known is not None and known.status is records.Status.ALIVE:
+        return Forgotten.IS_ALIVE
+    for _ in range(_FORGET_ATTEMPTS):
+        stored, mod_revision = await _read_stored(runtime)
+        if node_id in stored.forgotten:
+            return Forgotten.DONE
+        if node_id not in stored.node_ids:
+            return Forgotten.NOT_A_MEMBER
+        following = stored.without_member(node_id, _is_settled(runtime, stored))
+        if await _write(runtime, following, mod_revision):
+            roster_written(following.epoch, 0, 1)
+            return Forgotten.DONE
+    return Forgotten.CONFLICT
+
+
+async def _guarded(runtime: runtimes.Runtime, step: Step) -> None:
+    try:
+        await step(runtime)
+    except (
+        store_client.StoreUnavailableError,
+        store_client.StoreRefusedError,
+    ) as error:
+        roster_store_failed(str(error))
+
+
+async def _read(runtime: runtimes.Runtime) -> None:
+    await _read_stored(runtime)
+
+
+async def _watch(runtime: runtimes.Runtime) -> None:
+    found = await runtime.store.get(keys.ROSTER)
+    start_revision = 1
+    if found is not None:
+        _offer(runtime, found.value)
+        start_revision = found.mod_revision + 1
+    async for result in runtime.store.watch(keys.ROSTER, start_revision):
+        for event in result.events:
+            if event.type == "PUT":
+                _offer(runtime, event.kv.value)
+        if result.canceled or not runtime.watch_wanted.is_set():
+            return
+
+
+async def _extend(runtime: runtimes.Runtime) -> None:
+    stored, mod_revision = await _read_stored(runtime)
+    joining = _additions(runtime, stored)
+    if not joining:
+        return
+    following = stored.with_members(joining)
+    if await _write(runtime, following, mod_revision):
+        roster_written(following.epoch, len(joining), 0)
+
+
+def _additions(
+    runtime: runtimes.Runtime, roster: rosters.Roster
+) -> tuple[rosters.Member, ...]:
+    if not _is_settled(runtime, roster):
+        return ()
+    return rosters.joining(roster, runtime.table.all)
+
+
+def _is_settled(runtime: runtimes.Runtime, roster: rosters.Roster) -> bool:
+    return roster.is_settled(rosters.reported_epochs(runtime.table.all))
+
+
+async def _read_stored(
+    runtime: runtimes.Runtime,
+) -> tuple[rosters.Roster, int]:
+    """Returns the newest roster and the revision of the store's key.
+
+    A store that has lost the key must not start again at the first epoch, so
+    the roster in force here is used when it is newer.
+    """
+    found = await runtime.store.get(keys.ROSTER)
+    if found is not None:
+        _offer(runtime, found.value)
+    return runtime.roster.current, found.mod_revision if found else 0
+
+
+async def _write(
+    runtime: runtimes.Runtime, roster: rosters.Roster, mod_revision: int
+) -> bool:
+    content = roster_models.encode(roster)
+    if not await runtime.store.put_if(keys.ROSTER, content, mod_revision):
+        return False
+    _offer(runtime, content)
+    return True
+
+
+def _offer(runtime: runtimes.Runtime, content: bytes) -> None:
+    message = models.DocumentMessage(kind=handlers.ROSTER, content=content)
+    handlers.offer_document(runtime, message, "store")
--- a/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
@@ -1,4 +1,8 @@
-"""Supervises failure detection. Child: `detector`."""
+"""Supervises what the node knows of its neighbours and the roster.
+
+Children: `detector` (failure detection), `roster_watch`, `roster_extend` and
+`roster_report`. Each restarts alone; an outage of the store is not a failure.
+"""
 
 import functools
 
@@ -6,6 +10,7 @@
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.membership import detector
+from sassafras_node.membership import roster
 
 
 async def run(runtime: runtimes.Runtime) -> None:
@@ -16,6 +21,15 @@
         [
             supervision.Child(
                 "detector", functools.partial(detector.run, runtime)
-            )
+            ),
+            supervision.Child(
+                "roster_watch", functools.partial(roster.watch, runtime)
+            ),
+            supervision.Child(
+                "roster_extend", functools.partial(roster.extend, runtime)
+            ),
+            supervision.Child(
+                "roster_report", functools.partial(roster.report, runtime)
+            ),
         ]
     )
--- a/packages/sassafras-node/src/sassafras_node/peers/handlers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handlers.py
@@ -7,6 +7,7 @@
 from sassafras_base import events
 from sassafras_base import registry
 from sassafras_wire.configuration import models as configuration_models
+from sassafras_wire.membership import rosters as roster_models
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
@@ -19,6 +20,7 @@
 ]
 
 CONFIGURATION = "configuration"
+ROSTER = "roster"
 
 message_handlers: registry.Registry[Handler] = registry.Registry(
     "peer message handler"
@@ -41,6 +43,12 @@
     return f"configuration revision {revision} from {source} is in force"
 
 
+@events.declare(410, "INFO")
+def roster_in_force(epoch: int, members: int, source: str) -> str:
+    """A new epoch of the roster is in force at this node."""
+    return f"roster epoch {epoch} of {members} nodes from {source} is in force"
+
+
 @message_handlers.register("heartbeat")
 async def handle_heartbeat(
     runtime: runtimes.Runtime, link: links.Link, message: models.Message
@@ -54,6 +62,7 @@
     return models.HeartbeatAck(
         node_id=runtime.table.own_id,
         config_revision=runtime.configuration.revision,
+        roster_epoch=runtime.roster.current.epoch,
         changes=runtime.outbox.take(link),
     )
 
@@ -82,6 +91,8 @@
 
 def document_content(runtime: runtimes.Runtime, kind: str) -> bytes:
     """Returns a document in force as it travels; empty when there is none."""
+    if kind == ROSTER and runtime.roster.current.epoch:
+        return roster_models.encode(runtime.roster.current)
     index = runtime.configuration.index
     if kind != CONFIGURATION or index is None:
         return b""
@@ -92,6 +103,8 @@
     runtime: runtimes.Runtime, message: models.DocumentMessage, source: str
 ) -> None:
     """Puts a document into force if it is valid and newer."""
+    if message.kind == ROSTER and message.content:
+        _offer_roster(runtime, message.content, source)
     if message.kind != CONFIGURATION or not message.content:
         return
     try:
@@ -101,3 +114,15 @@
         return
     if runtime.configuration.offer(document):
         configuration_in_force(document.revision, source)
+
+
+def _offer_roster(
+    runtime: runtimes.Runtime, content: bytes, source: str
+) -> None:
+    try:
+        roster = roster_models.decode(content, source)
+    except errors.InvalidInputError as error:
+        document_refused(source, str(error))
+        return
+    if runtime.roster.offer(roster):
+        roster_in_force(roster.epoch, len(roster.members), source)
--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -33,6 +33,7 @@
         models.Heartbeat(
             node_id=runtime.table.own_id,
             config_revision=runtime.configuration.revision,
+            roster_epoch=runtime.roster.current.epoch,
             changes=runtime.outbox.take(link),
         )
     )
@@ -40,17 +41,31 @@
     runtime.table.merge(
         converters.model_to_record(change) for change in ack.changes
     )
-    own_revision = runtime.configuration.revision
-    if ack.config_revision > own_revision:
-        await link.send(models.DocumentFetch(kind=handlers.CONFIGURATION))
+    await _level_documents(
+        runtime,
+        link,
+        handlers.CONFIGURATION,
+        ack.config_revision - runtime.configuration.revision,
+    )
+    await _level_documents(
+        runtime,
+        link,
+        handlers.ROSTER,
+        ack.roster_epoch - runtime.roster.current.epoch,
+    )
+
+
+async def _level_documents(
+    runtime: runtimes.Runtime, link: links.Link, kind: str, lead: int
+) -> None:
+    """Fetches a document that the peer has newer, or sends the own one."""
+    if lead > 0:
+        await link.send(models.DocumentFetch(kind=kind))
         document = await link.expect(models.DocumentMessage)
         handlers.offer_document(runtime, document, link.address)
-    elif ack.config_revision < own_revision:
+    elif lead < 0:
         await link.send(
             models.DocumentMessage(
-                kind=handlers.CONFIGURATION,
-                content=handlers.document_content(
-                    runtime, handlers.CONFIGURATION
-                ),
+                kind=kind, content=handlers.document_content(runtime, kind)
             )
         )
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -12,6 +12,7 @@
 from sassafras_policy.configuration import indexes
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
+from sassafras_policy.membership import roster as rosters
 from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
 from sassafras_wire.http import server as http_server
@@ -139,6 +140,7 @@
         self.watch_wanted = trio.Event()
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
+        self.roster.subscribe(self._on_roster)
 
     def _on_member(self, record: records.NodeRecord) -> None:
         del record
@@ -150,6 +152,11 @@
         self._configure_limiter()
         self._wake()
 
+    def _on_roster(self, roster: rosters.Roster) -> None:
+        del roster
+        self._configure_limiter()
+        self._wake()
+
     def _configure_limiter(self) -> None:
         index = self.configuration.index
         if index is not None:
--- a/packages/sassafras-node/src/sassafras_node/store/keys.py
+++ b/packages/sassafras-node/src/sassafras_node/store/keys.py
@@ -1,6 +1,7 @@
 """Names of the keys in the platform's key-value service."""
 
 CONFIGURATION = "/sassafras/config"
+ROSTER = "/sassafras/roster"
 ZONES = "/sassafras/zones/"
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/membership/roster.py
+++ b/packages/sassafras-policy/src/sassafras_policy/membership/roster.py
@@ -1,7 +1,12 @@
 """The agreed list of nodes that hold base shares and idempotency records."""
 
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
+from sassafras_policy.membership import records
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
@@ -24,11 +29,15 @@
       epoch: Rises by one with each change; 0 before the first.
       members: The nodes, ordered by id.
       forgotten: Nodes that an operator has declared gone for good.
+      earlier: Member ids of the epochs before this one that some node may
+        still use, the oldest first. The oldest of them is settled: every
+        member has applied it, so no node uses a share of an epoch before it.
     """
 
     epoch: int = 0
     members: tuple[Member, ...] = ()
     forgotten: tuple[str, ...] = ()
+    earlier: tuple[tuple[str, ...], ...] = ()
 
     @property
     def node_ids(self) -> tuple[str, ...]:
@@ -42,3 +51,73 @@
             for member in self.members
             if member.service == service
         )
+
+    def is_settled(self, reported: Mapping[str, int]) -> bool:
+        """Returns whether every member has applied this epoch.
+
+        Args:
+          reported: The newest epoch that each node says it has applied. A
+            node that has died after its report has still applied it.
+        """
+        return all(
+            reported.get(node_id, 0) >= self.epoch for node_id in self.node_ids
+        )
+
+    def with_members(self, joining: Iterable[Member]) -> "Roster":
+        """Returns the next epoch with more members.
+
+        This epoch must be settled, so that the next one is safe to apply for
+        nodes that have seen neither of them.
+        """
+        known = {member.node_id: member for member in self.members}
+        known.update((member.node_id, member) for member in joining)
+        return Roster(
+            epoch=self.epoch + 1,
+            members=tuple(known[node_id] for node_id in sorted(known)),
+            forgotten=tuple(n for n in self.forgotten if n not in known),
+            earlier=(self.node_ids,),
+        )
+
+    def without_member(self, node_id: str, settled: bool) -> "Roster":
+        """Returns the next epoch, from which a lost node is removed.
+
+        Args:
+          node_id: The node that an operator declares gone.
+          settled: Whether this epoch is settled. It need not be, as the lost
+            node may be the one that cannot report it.
+        """
+        return Roster(
+            epoch=self.epoch + 1,
+            members=tuple(m for m in self.members if m.node_id != node_id),
+            forgotten=(*self.forgotten, node_id),
+            earlier=(
+                (self.node_ids,) if settled else (*self.earlier, self.node_ids)
+            ),
+        )
+
+
+def joining(
+    roster: Roster, known: Iterable[records.NodeRecord]
+) -> tuple[Member, ...]:
+    """Returns the nodes that should be added to a roster.
+
+    A forgotten node may come back once it has applied the epoch that removed
+    it, because it then holds no share of an older one.
+    """
+    present: Collection[str] = set(roster.node_ids)
+    return tuple(
+        Member(record.node_id, record.service)
+        for record in known
+        if record.node_id not in present
+        and record.status is records.Status.ALIVE
+        and record.target_state is records.TargetState.SERVING
+        and (
+            record.node_id not in roster.forgotten
+            or record.roster_epoch >= roster.epoch
+        )
+    )
+
+
+def reported_epochs(known: Iterable[records.NodeRecord]) -> dict[str, int]:
+    """Returns the newest roster epoch that each node has applied."""
+    return {record.node_id: record.roster_epoch for record in known}
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of what nodes agree on about each other."""
