Add the configuration writer and keep store connections alive

Cause: nothing wrote the configuration by compare-and-swap, a lost answer left the writer without a verdict, and each call to the store opened a connection.

`store.writer.write(runtime, ...)` also puts the result into force at its node at once. The store client tells a connection that could not be opened (nothing sent) from a missing answer, takes 5xx as a missing answer, and reuses connections. A watch is a context that closes its stream when its reader stops.

Conclusion: an administration route can report each outcome exactly.

--- a/packages/sassafras-node/src/sassafras_node/peers/handlers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handlers.py
@@ -6,6 +6,7 @@
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import registry
+from sassafras_policy.configuration import document as documents
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
@@ -99,5 +100,12 @@
     except errors.InvalidInputError as error:
         document_refused(source, str(error))
         return
+    put_into_force(runtime, document, source)
+
+
+def put_into_force(
+    runtime: runtimes.Runtime, document: documents.Document, source: str
+) -> None:
+    """Puts a document into force if its revision is higher."""
     if runtime.configuration.offer(document):
         configuration_in_force(document.revision, source)
--- a/packages/sassafras-node/src/sassafras_node/store/watch.py
+++ b/packages/sassafras-node/src/sassafras_node/store/watch.py
@@ -38,12 +38,15 @@
     if found is not None:
         _offer(runtime, found.value)
         start_revision = found.mod_revision + 1
-    async for result in runtime.store.watch(keys.CONFIGURATION, start_revision):
-        for event in result.events:
-            if event.type == "PUT":
-                _offer(runtime, event.kv.value)
-        if result.canceled or not runtime.watch_wanted.is_set():
-            return
+    async with runtime.store.watch(
+        keys.CONFIGURATION, start_revision
+    ) as results:
+        async for result in results:
+            for event in result.events:
+                if event.type == "PUT":
+                    _offer(runtime, event.kv.value)
+            if result.canceled or not runtime.watch_wanted.is_set():
+                return
 
 
 def _offer(runtime: runtimes.Runtime, content: bytes) -> None:
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/store/writer.py
@@ -0,0 +1,39 @@
+"""Writes the configuration for operators who use this node."""
+
+import result
+from sassafras_policy.configuration import document as documents
+from sassafras_wire.store import configuration_writer
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
+from sassafras_node.store import keys
+
+
+async def write(
+    runtime: runtimes.Runtime,
+    document: documents.Document,
+    expected_revision: int,
+) -> configuration_writer.WriteResult:
+    """Stores a document as the revision after `expected_revision`.
+
+    The node puts the stored revision into force at once and passes it on to
+    its neighbours, without waiting for the availability zone's watcher.
+
+    Args:
+      runtime: The node.
+      document: The new content; its revision and write id are replaced.
+      expected_revision: Revision that the change was made from; 0 when there
+        should be no document yet.
+    """
+    writer = configuration_writer.ConfigurationWriter(
+        runtime.store, keys.CONFIGURATION
+    )
+    outcome = await writer.write(document, expected_revision)
+    stored: documents.Document | None = None
+    if isinstance(outcome, result.Ok):
+        stored = outcome.ok_value.document
+    elif isinstance(outcome.err_value, configuration_writer.Conflict):
+        stored = outcome.err_value.document
+    if stored is not None:
+        handlers.put_into_force(runtime, stored, "store")
+    return outcome
--- a/packages/sassafras-standins/src/sassafras_standins/store/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/store/server.py
@@ -38,27 +38,11 @@
         await trio.serve_listeners(self.serve, listeners)
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serves one connection, one request on it."""
+        """Serves the requests of one connection, one after another."""
         connection = h11.Connection(h11.SERVER)
         try:
-            request, body = await _receive(connection, stream)
-            path = request.target.decode()
-            if path.startswith("/standin/"):
-                content = self._control(path, body)
-                await _respond(connection, stream, content)
-                return
-            self.faults.count(path)
-            if self.faults.mode is fault_modes.Mode.DOWN:
-                return
-            if self.faults.mode is fault_modes.Mode.SLOW:
-                await trio.sleep(self.faults.delay_s)
-            if path == _WATCH:
-                await self._watch(connection, stream, json.loads(body))
-                return
-            content = self._call(path, json.loads(body))
-            if self._loses_answer(path):
-                return
-            await _respond(connection, stream, content)
+            while await self._serve_request(connection, stream):
+                connection.start_next_cycle()
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -69,6 +53,29 @@
         finally:
             await trio.aclose_forcefully(stream)
 
+    async def _serve_request(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> bool:
+        """Serves a request; returns whether the connection stays open."""
+        request, body = await _receive(connection, stream)
+        path = request.target.decode()
+        if path.startswith("/standin/"):
+            await _respond(connection, stream, self._control(path, body))
+            return True
+        self.faults.count(path)
+        if self.faults.mode is fault_modes.Mode.DOWN:
+            return False
+        if self.faults.mode is fault_modes.Mode.SLOW:
+            await trio.sleep(self.faults.delay_s)
+        if path == _WATCH:
+            await self._watch(connection, stream, json.loads(body))
+            return False
+        content = self._call(path, json.loads(body))
+        if self._loses_answer(path):
+            return False
+        await _respond(connection, stream, content)
+        return True
+
     def _loses_answer(self, path: str) -> bool:
         if path != "/v3/kv/txn":
             return False
@@ -218,7 +225,6 @@
     headers = [
         ("content-type", "application/json"),
         ("content-length", str(len(body))),
-        ("connection", "close"),
     ]
     data_out = connection.send(h11.Response(status_code=200, headers=headers))
     data_out = (data_out or b"") + (connection.send(h11.Data(data=body)) or b"")
--- a/packages/sassafras-wire/src/sassafras_wire/store/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/client.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import AsyncIterator
+import contextlib
 import json
 from typing import Any
 from typing import TypeVar
@@ -12,11 +13,15 @@
 import trio
 
 from sassafras_wire.http import client as http_client
+from sassafras_wire.http import pool
 from sassafras_wire.settings import node as node_settings
 from sassafras_wire.store import models
 
 _BODY_LIMIT = 4 * 1024 * 1024
 _JSON_HEADERS = (("content-type", "application/json"),)
+_CONNECTIONS = 8
+_FIRST_SERVER_ERROR = 500
+_OK = 200
 
 A = TypeVar("A", bound=pydantic.BaseModel)
 
@@ -25,12 +30,16 @@
     """The service did not answer; a write may or may not have happened."""
 
 
+class StoreUnreachableError(StoreUnavailableError):
+    """No connection could be opened; nothing was sent or written."""
+
+
 class StoreRefusedError(errors.SassafrasError):
-    """The service answered with an error; nothing was written."""
+    """The service rejected the call as such; nothing was written."""
 
 
 class StoreClient:
-    """Calls the service's endpoints in turn.
+    """Calls the service's endpoints in turn, on connections kept alive.
 
     Attributes:
       calls: How many calls were made, for the report.
@@ -40,6 +49,21 @@
         self.calls = 0
         self._settings = settings
         self._next_endpoint = 0
+        self._pools = {
+            endpoint: pool.ConnectionPool(
+                endpoint,
+                "store.call",
+                size=_CONNECTIONS,
+                body_limit=_BODY_LIMIT,
+                connect_timeout_s=settings.timeout_s,
+            )
+            for endpoint in settings.endpoints
+        }
+
+    async def close(self) -> None:
+        """Closes the connections that are kept alive."""
+        for connections in self._pools.values():
+            await connections.close()
 
     async def get(self, key: str) -> models.KeyValue | None:
         """Returns a key, or None when it does not exist."""
@@ -114,47 +138,66 @@
             "/v3/lease/revoke", {"ID": str(lease)}, models.LeaseAnswer
         )
 
+    @contextlib.asynccontextmanager
     async def watch(
         self, key: str, start_revision: int
-    ) -> AsyncIterator[models.WatchResult]:
-        """Yields the changes of a key from a revision on, until the end.
+    ) -> AsyncIterator[AsyncIterator[models.WatchResult]]:
+        """Opens a stream of the changes of a key from a revision on.
+
+        The stream is closed with the context, so that a caller that stops
+        reading leaves no waiting watch behind.
 
         Raises:
           StoreUnavailableError: The stream could not be opened or broke.
         """
         step = "store.watch"
-        self.calls += 1
         endpoint = self._endpoint(step)
+        self.calls += 1
         connection = await self._connect(endpoint, step)
         try:
-            request = _request(
-                "/v3/watch",
-                {
-                    "create_request": {
-                        "key": _encode(key),
-                        "start_revision": str(start_revision),
-                    }
-                },
-            )
-            status, chunks = await connection.stream(request)
-            if status != 200:
+            yield self._results(connection, endpoint, key, start_revision)
+        finally:
+            await connection.close()
+
+    async def _results(
+        self,
+        connection: http_client.ClientConnection,
+        endpoint: str,
+        key: str,
+        start_revision: int,
+    ) -> AsyncIterator[models.WatchResult]:
+        step = "store.watch"
+        request = _request(
+            "/v3/watch",
+            {
+                "create_request": {
+                    "key": _encode(key),
+                    "start_revision": str(start_revision),
+                }
+            },
+        )
+        try:
+            with trio.fail_after(self._settings.timeout_s):
+                status, chunks = await connection.stream(request)
+            if status != _OK:
                 raise errors.ProtocolError(step, endpoint, f"status {status}")
             pending = b""
             async for chunk in chunks:
                 *lines, pending = (pending + chunk).split(b"\n")
+                if len(pending) > _BODY_LIMIT:
+                    raise errors.ProtocolError(step, endpoint, "endless line")
                 for line in lines:
                     yield models.WatchAnswer.model_validate_json(line).result
         except (
             errors.ConnectionLostError,
             errors.ProtocolError,
             pydantic.ValidationError,
+            trio.TooSlowError,
         ) as error:
             self._skip_endpoint()
             raise StoreUnavailableError(
-                step, endpoint, f"watch broke: {error}"
+                step, endpoint, f"watch broke: {_describe(error)}"
             ) from None
-        finally:
-            await connection.close()
 
     async def _range(self, body: dict[str, Any]) -> models.RangeAnswer:
         return await self._call("/v3/kv/range", body, models.RangeAnswer)
@@ -167,7 +210,12 @@
         self.calls += 1
         try:
             with trio.fail_after(self._settings.timeout_s):
-                response = await self._exchange(endpoint, step, path, body)
+                response = await self._pools[endpoint].exchange(
+                    _request(path, body)
+                )
+        except errors.UnreachableError as error:
+            self._skip_endpoint()
+            raise StoreUnreachableError(step, endpoint, error.problem) from None
         except (
             errors.ConnectionLostError,
             errors.ProtocolError,
@@ -177,10 +225,17 @@
             raise StoreUnavailableError(
                 step,
                 endpoint,
-                f"no answer: {error!r}",
+                f"no answer: {_describe(error)}",
                 "the node goes on with what it has and retries",
             ) from None
-        if response.status != 200:
+        if response.status >= _FIRST_SERVER_ERROR:
+            # Such an answer may come after the write took effect, when the
+            # service's members did not confirm it in time.
+            self._skip_endpoint()
+            raise StoreUnavailableError(
+                step, endpoint, f"status {response.status}"
+            )
+        if response.status != _OK:
             raise StoreRefusedError(
                 step,
                 endpoint,
@@ -190,18 +245,9 @@
             return answer.model_validate_json(response.body)
         except pydantic.ValidationError as error:
             raise StoreUnavailableError(
-                step, endpoint, f"unreadable answer: {error.error_count()}"
+                step, endpoint, f"unreadable answer: {_describe(error)}"
             ) from None
 
-    async def _exchange(
-        self, endpoint: str, step: str, path: str, body: dict[str, Any]
-    ) -> http_client.Response:
-        connection = await self._connect(endpoint, step)
-        try:
-            return await connection.exchange(_request(path, body))
-        finally:
-            await connection.close()
-
     async def _connect(
         self, endpoint: str, step: str
     ) -> http_client.ClientConnection:
@@ -211,11 +257,11 @@
             )
         except errors.UnreachableError as error:
             self._skip_endpoint()
-            raise StoreUnavailableError(step, endpoint, error.problem) from None
+            raise StoreUnreachableError(step, endpoint, error.problem) from None
 
     def _endpoint(self, step: str) -> str:
         if not self._settings.endpoints:
-            raise StoreUnavailableError(
+            raise StoreUnreachableError(
                 step, "none", "no endpoint", "set [store] endpoints"
             )
         return self._settings.endpoints[
@@ -235,6 +281,14 @@
     )
 
 
+def _describe(error: Exception) -> str:
+    if isinstance(error, errors.SassafrasError):
+        return error.problem
+    if isinstance(error, pydantic.ValidationError):
+        return f"{error.error_count()} invalid fields"
+    return "time-out" if isinstance(error, trio.TooSlowError) else repr(error)
+
+
 def _encode(key: str) -> str:
     return base64.b64encode(key.encode()).decode()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,7 +18,9 @@
     async def main():
         await function(**arguments)
 
-    if pyfuncitem.get_closest_marker("processes"):
+    # The mock clock jumps ahead while bytes are on their way through a socket,
+    # so tests that use sockets run on the real clock.
+    if any(map(pyfuncitem.get_closest_marker, ("processes", "loopback"))):
         trio.run(main)
     else:
         # The clock jumps whenever all tasks wait, so no test takes real time.
