--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' questionnaire: an INI file that becomes a document."""
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/reading.py
@@ -0,0 +1,270 @@
+"""Reads a questionnaire and finds every fault in it at once."""
+
+import configparser
+import dataclasses
+import pathlib
+import re
+
+import pydantic
+import result
+from sassafras_base import errors
+
+from sassafras_wire.questionnaire import models
+
+STEP = "questionnaire.check"
+
+_ADVICE = "correct the questionnaire; nothing was changed"
+_HEADER = re.compile(r"\[(?P<header>.+)\]")
+_KEY = re.compile(r"(?P<key>[^\s=:#;\[][^=:]*?)\s*[=:]")
+_NO_SECTION = ""
+
+Sections = dict[str, dict[str, models.Section]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a questionnaire.
+
+    Attributes:
+      section: The section, without brackets.
+      key: The key; empty when the fault is one of the whole section.
+      given: The value given; empty when there is none.
+      allowed: What is allowed instead.
+    """
+
+    section: str
+    key: str
+    given: str
+    allowed: str
+
+    def __str__(self) -> str:
+        where = f"[{self.section}] {self.key}".rstrip()
+        if self.given:
+            where += f" = {self.given!r}"
+        return f"{where}: {self.allowed}"
+
+
+class QuestionnaireError(errors.InvalidInputError):
+    """A questionnaire has faults.
+
+    Attributes:
+      details: The faults, one entry each.
+    """
+
+    def __init__(self, source: str, details: list[Fault]) -> None:
+        self.details = details
+        super().__init__(STEP, source, [str(fault) for fault in details])
+        self.advice = _ADVICE
+
+
+def read(path: pathlib.Path) -> models.Questionnaire:
+    """Returns the questionnaire in a file.
+
+    Raises:
+      QuestionnaireError: It has faults.
+      InvalidInputError: The file cannot be read.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.InvalidInputError(
+            STEP, str(path), [f"cannot be read: {error}"]
+        ) from None
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str) -> models.Questionnaire:
+    """Returns the questionnaire in a text.
+
+    Raises:
+      QuestionnaireError: It has faults.
+    """
+    checked = check(text)
+    if isinstance(checked, result.Err):
+        raise QuestionnaireError(source, checked.err_value)
+    return checked.ok_value
+
+
+def check(text: str) -> result.Result[models.Questionnaire, list[Fault]]:
+    """Returns the questionnaire in a text, or all its faults."""
+    # Duplicates are found by `_duplicates`: a strict parser would stop at the
+    # first one and hide the faults after it.
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=False, default_section=_NO_SECTION
+    )
+    try:
+        parser.read_string(text)
+    except configparser.MissingSectionHeaderError as error:
+        return result.Err(
+            [
+                Fault(
+                    "",
+                    "",
+                    error.line.strip(),
+                    f"line {error.lineno}: a section such as [deployment] must"
+                    " come first",
+                )
+            ]
+        )
+    except configparser.ParsingError as error:
+        return result.Err(
+            [
+                Fault(
+                    "",
+                    "",
+                    line,
+                    f"line {number}: a line 'key = value', '[section]' or"
+                    " '# comment'",
+                )
+                for number, line in error.errors
+            ]
+        )
+    faults = _duplicates(text)
+    names = _collect_names(parser, faults)
+    sections: Sections = {kind: {} for kind in models.NAMED_SECTIONS}
+    singles: dict[str, models.Section] = {}
+    for header in parser.sections():
+        kind, name = _split_header(header)
+        content = dict(parser[header])
+        if kind in models.SINGLE_SECTIONS and not name:
+            model = models.SINGLE_SECTIONS[kind]
+            section = _check_section(header, model, content, names, faults)
+            if section is not None:
+                singles[kind] = section
+        elif kind in models.NAMED_SECTIONS and name:
+            model = models.NAMED_SECTIONS[kind]
+            section = _check_section(header, model, content, names, faults)
+            if section is not None:
+                sections[kind][name] = section
+    _check_presence(parser, faults)
+    _check_distinct_routes(sections["route"], faults)
+    if faults:
+        return result.Err(faults)
+    return result.Ok(_assemble(singles, sections))
+
+
+def _split_header(header: str) -> tuple[str, str]:
+    kind, _, name = header.strip().partition(" ")
+    return kind, name.strip()
+
+
+def _duplicates(text: str) -> list[Fault]:
+    """Returns a fault for each section or key that is given twice."""
+    faults = []
+    headers: set[tuple[str, str]] = set()
+    keys: set[str] = set()
+    section = ""
+    for line in text.splitlines():
+        header = _HEADER.match(line.strip())
+        key = _KEY.match(line)
+        if header:
+            section = header["header"].strip()
+            keys = set()
+            split = _split_header(section)
+            if split in headers:
+                faults.append(Fault(section, "", "", "each section once"))
+            headers.add(split)
+        elif key:
+            name = key["key"].lower()
+            if name in keys:
+                faults.append(
+                    Fault(section, name, line.strip(), "each key once")
+                )
+            keys.add(name)
+    return faults
+
+
+def _collect_names(
+    parser: configparser.ConfigParser, faults: list[Fault]
+) -> models.Names:
+    """Returns the names that the sections declare, faulty sections included."""
+    named: dict[str, list[str]] = {kind: [] for kind in models.NAMED_SECTIONS}
+    forms = [f"[{kind}]" for kind in models.SINGLE_SECTIONS] + [
+        f"[{kind} NAME]" for kind in models.NAMED_SECTIONS
+    ]
+    for header in parser.sections():
+        kind, name = _split_header(header)
+        if kind in named and name:
+            named[kind].append(name)
+            if not models.is_name(name):
+                faults.append(Fault(header, "", name, models.NAME_ALLOWED))
+        elif kind not in models.SINGLE_SECTIONS or name:
+            faults.append(Fault(header, "", "", f"one of {', '.join(forms)}"))
+    classes = parser.get("classes", "order", fallback="")
+    return models.Names(
+        services=tuple(named["service"]),
+        organisations=tuple(named["organisation"]),
+        classes=tuple(models.split_list(classes)),
+    )
+
+
+def _check_section(
+    header: str,
+    model: type[models.Section],
+    content: dict[str, str],
+    names: models.Names,
+    faults: list[Fault],
+) -> models.Section | None:
+    try:
+        return model.model_validate(content, context=names)
+    except pydantic.ValidationError as error:
+        for fault in error.errors():
+            key = str(fault["loc"][0])
+            allowed = models.describe_allowed(model, fault)
+            if fault["type"] == "missing":
+                found = Fault(header, key, "", f"missing; {allowed}")
+            else:
+                # For a list, the input is the entry that is not allowed.
+                given = fault["input"]
+                shown = given if isinstance(given, str) else content[key]
+                found = Fault(header, key, shown, allowed)
+            if found not in faults:
+                faults.append(found)
+    return None
+
+
+def _check_presence(
+    parser: configparser.ConfigParser, faults: list[Fault]
+) -> None:
+    kinds = {_split_header(header)[0] for header in parser.sections()}
+    faults.extend(
+        Fault(kind, "", "", "missing; this section is needed")
+        for kind in models.SINGLE_SECTIONS
+        if kind not in kinds
+    )
+    faults.extend(
+        Fault(f"{kind} NAME", "", "", "missing; at least one is needed")
+        for kind in ("service", "organisation", "route")
+        if kind not in kinds
+    )
+
+
+def _check_distinct_routes(
+    routes: dict[str, models.Section], faults: list[Fault]
+) -> None:
+    """Finds routes that can never match because an equal one comes first."""
+    seen: dict[tuple[str, str], str] = {}
+    for name, route in routes.items():
+        assert isinstance(route, models.RouteSection)
+        first = seen.setdefault((route.method, route.path), name)
+        if first != name:
+            faults.append(
+                Fault(
+                    f"route {name}",
+                    "path",
+                    route.path,
+                    f"each method and path once; [route {first}] has them too",
+                )
+            )
+
+
+def _assemble(
+    singles: dict[str, models.Section], sections: Sections
+) -> models.Questionnaire:
+    return models.Questionnaire(
+        **singles,  # type: ignore[arg-type]
+        services=sections["service"],  # type: ignore[arg-type]
+        organisations=sections["organisation"],  # type: ignore[arg-type]
+        routes=sections["route"],  # type: ignore[arg-type]
+        objectives=sections["objective"],  # type: ignore[arg-type]
+    )
