--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -3,7 +3,6 @@
 from typing import Protocol
 
 from sassafras_base import registry
-
 from sassafras_policy.configuration import document as documents
 
 
