--- a/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
@@ -1,11 +1,6 @@
 """Choice of a target for a call, and retries at another one."""
 
-import trio
-
 from sassafras_base import errors
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import contexts
-from sassafras_node.calls import local
 from sassafras_policy.balancing import balancers
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -13,6 +8,11 @@
 from sassafras_wire.http import fields
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
+import trio
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+from sassafras_node.calls import local
 
 _RETRY_AFTER_MS = 1000
 
--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -1,12 +1,13 @@
 """Serves a call at the target beside the node."""
 
 from sassafras_base import errors
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import contexts
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import fields
 
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+
 _RETRY_AFTER_MS = 1000
 
 
--- a/packages/sassafras-node/src/sassafras_node/membership/neighbours.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/neighbours.py
@@ -1,6 +1,7 @@
 """The neighbours of a node on the ring of hashed ids."""
 
 from sassafras_base import hashing
+
 from sassafras_node import runtime as runtimes
 
 NEIGHBOUR_COUNT = 3
--- a/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
@@ -7,6 +7,7 @@
 import functools
 
 from sassafras_base import supervision
+
 from sassafras_node import runtime as runtimes
 from sassafras_node.membership import detector
 from sassafras_node.membership import roster
--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -1,12 +1,12 @@
 """The life of the control link to one neighbour: heartbeats and documents."""
 
+from sassafras_wire.peer import converters
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
 import trio
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
-from sassafras_wire.peer import converters
-from sassafras_wire.peer import link as links
-from sassafras_wire.peer import models
 
 
 async def run(runtime: runtimes.Runtime, node_id: str) -> None:
--- a/packages/sassafras-node/src/sassafras_node/peers/pool.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/pool.py
@@ -1,11 +1,11 @@
 """Call connections to peers, one call at a time on each."""
 
-import trio
-
 from sassafras_base import errors
-from sassafras_node.calls import contexts
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
+import trio
+
+from sassafras_node.calls import contexts
 
 
 class PeerPools:
--- a/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
+++ b/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
@@ -1,11 +1,11 @@
 """Election of the watcher of an availability zone, by a lease."""
 
+from sassafras_base import events
+from sassafras_wire.store import client as store_client
 import trio
 
-from sassafras_base import events
 from sassafras_node import runtime as runtimes
 from sassafras_node.store import keys
-from sassafras_wire.store import client as store_client
 
 _RENEWALS_PER_LEASE = 3
 
--- a/packages/sassafras-node/src/sassafras_node/targets/expiry.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/expiry.py
@@ -1,8 +1,8 @@
 """Forgets a target that has stopped announcing itself."""
 
+from sassafras_base import events
 import trio
 
-from sassafras_base import events
 from sassafras_node import runtime as runtimes
 from sassafras_node.targets import announcements
 
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from sassafras_base import registry
+
 from sassafras_policy.calls import messages
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sassafras_base import hashing
+
 from sassafras_policy.configuration import document as documents
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from sassafras_base import registry
+
 from sassafras_policy.configuration import document as documents
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -4,10 +4,9 @@
 import dataclasses
 
 import h11
-import trio
-
 from sassafras_base import errors
 from sassafras_policy.calls import messages
+import trio
 
 _READ_BYTES = 64 * 1024
 _HEADER_BYTES = 64 * 1024
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -1,8 +1,8 @@
 """A bounded pool of client connections to one server."""
 
+from sassafras_policy.calls import messages
 import trio
 
-from sassafras_policy.calls import messages
 from sassafras_wire.http import client
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/membership/rosters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/membership/rosters.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 import pydantic
-
 from sassafras_base import errors
 from sassafras_policy.membership import roster as rosters
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
@@ -5,6 +5,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.membership import records
+
 from sassafras_wire.peer import models
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -7,7 +7,6 @@
 from typing import Literal
 
 import pydantic
-
 from sassafras_base import registry
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/questionnaire/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/models.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import pydantic
-
 from sassafras_policy.configuration import document as documents
 
 EVERY = "*"
--- a/tests/contract/test_burn_report.py
+++ b/tests/contract/test_burn_report.py
@@ -3,7 +3,6 @@
 import json
 
 import pytest
-
 from sassafras_base import clock as clocks
 from sassafras_node.reports import fleet
 from sassafras_node.reports import recorder
--- a/tests/contract/test_configuration_writer.py
+++ b/tests/contract/test_configuration_writer.py
@@ -5,8 +5,6 @@
 
 import pytest
 import result
-import trio
-
 from sassafras_policy.configuration import document as documents
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
@@ -16,6 +14,7 @@
 from sassafras_wire.settings import node as node_settings
 from sassafras_wire.store import client as store_client
 from sassafras_wire.store import configuration_writer as writers
+import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_questionnaire.py
+++ b/tests/contract/test_questionnaire.py
@@ -5,7 +5,6 @@
 
 import pytest
 import result
-
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import indexes
 from sassafras_wire.configuration import models as configuration_models
--- a/tests/contract/test_registry.py
+++ b/tests/contract/test_registry.py
@@ -1,7 +1,6 @@
 """The registry that decorators fill."""
 
 import pytest
-
 from sassafras_base import registry
 
 
--- a/tests/membership/test_roster_epochs.py
+++ b/tests/membership/test_roster_epochs.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 import pytest
-
 from sassafras_base import errors
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -2,9 +2,8 @@
 
 import json
 
-import pytest
-
 from common import waiting
+import pytest
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
