--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 PROJECTS := $(foreach p,$(PACKAGES),packages/sassafras-$(p)/pyproject.toml)
 
-.PHONY: demo test measure lint format docs setup
+.PHONY: demo test measure capacity lint format docs setup
 
 setup: $(STAMP)
 
@@ -39,3 +39,6 @@
 
 docs: $(STAMP)
 	$(BIN)/python tools/generate_docs.py
+
+capacity: $(STAMP)
+	$(BIN)/python -m sassafras_standins.capacity
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for docs/CAPACITY.md, measured in one process without a network."""
