--- a/packages/sassafras-standins/src/sassafras_standins/capacity/configuration.py
+++ b/packages/sassafras-standins/src/sassafras_standins/capacity/configuration.py
@@ -84,11 +84,7 @@
         memory.append(
             slopes.Point(
                 size,
-                slopes.memory_kb(
-                    lambda encoded=encoded: indexes.Index(
-                        models.decode(encoded, "capacity")
-                    )
-                ),
+                slopes.memory_kb(functools.partial(_load, encoded)),
             )
         )
     make = functools.partial(
@@ -100,3 +96,7 @@
         make("configuration, indexes", "ms", points=tuple(index)),
         make("configuration and indexes, memory", "kB", points=tuple(memory)),
     ]
+
+
+def _load(encoded: bytes) -> indexes.Index:
+    return indexes.Index(models.decode(encoded, "capacity"))
--- a/packages/sassafras-standins/src/sassafras_standins/capacity/membership.py
+++ b/packages/sassafras-standins/src/sassafras_standins/capacity/membership.py
@@ -55,25 +55,20 @@
             slopes.Point(
                 size,
                 slopes.duration_ms(
-                    lambda built=built: built.serving("service-7")
+                    functools.partial(built.serving, "service-7")
                 ),
             )
         )
         ring.append(
             slopes.Point(
                 size,
-                slopes.duration_ms(
-                    lambda built=built: sorted(
-                        built.peers,
-                        key=lambda peer: hashing.stable_hash(peer.node_id),
-                    )
-                ),
+                slopes.duration_ms(functools.partial(_ring, built)),
             )
         )
         exchange.append(
             slopes.Point(
                 size,
-                slopes.duration_ms(lambda built=built: _encode(built), 2),
+                slopes.duration_ms(functools.partial(_encode, built), 2),
             )
         )
         size_kb.append(slopes.Point(size, len(_encode(built)) / 1000))
@@ -97,3 +92,9 @@
             changes=[converters.record_to_model(item) for item in built.all],
         )
     )
+
+
+def _ring(built: tables.Table) -> list[records.NodeRecord]:
+    return sorted(
+        built.peers, key=lambda peer: hashing.stable_hash(peer.node_id)
+    )
