--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration on loopback with real processes."""
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/demo/__main__.py
@@ -0,0 +1,234 @@
+"""Shows a fleet that carries calls; exits 0 only if every claim held."""
+
+import json
+import pathlib
+import random
+import sys
+
+import trio
+
+from sassafras_standins.demo import checks as demo_checks
+from sassafras_standins.demo import commands
+from sassafras_standins.fleet import launcher
+from sassafras_standins.load import caller
+from sassafras_standins.load import pacing
+
+_EXAMPLES = pathlib.Path("examples")
+_SEED = 7
+_DESK = "/status-desk/cheques/4711"
+_LODGE = "/lodgement/cheques"
+_SETTLE_S = 30.0
+_POLL_S = 0.1
+_SURGE_RATE_PER_S = 120
+_SURGE_S = 5
+_SLOTS = 4
+_SERVICE_MS = 40.0
+_LARGE = "aegean-commercial-bank"
+_OTHER = "ionian-trade-bank"
+
+
+def _places() -> list[launcher.Place]:
+    layout = [
+        ("status-desk", "athens-1", ["/lodgement/images/7"]),
+        ("status-desk", "athens-2", ["/lodgement/images/7"]),
+        ("lodgement", "athens-1", ["/settlement/accounts/7"]),
+        ("lodgement", "athens-2", ["/settlement/accounts/7"]),
+        ("settlement", "athens-1", []),
+        ("settlement", "athens-2", []),
+    ]
+    return [
+        launcher.make_place(
+            f"host-{number}",
+            availability_zone,
+            service=service,
+            sub_calls=sub_calls,
+            slots=_SLOTS,
+            service_ms=_SERVICE_MS,
+        )
+        for number, (service, availability_zone, sub_calls) in enumerate(layout)
+    ]
+
+
+class Demo:
+    """The steps of the demonstration."""
+
+    def __init__(self) -> None:
+        self.checks = demo_checks.Checks()
+        self._places = _places()
+        self._fleet = launcher.Fleet(self._places)
+        self._addresses = [place.caller_address for place in self._places]
+        self._keys: dict[str, str] = {}
+        self._random = random.Random(_SEED)
+
+    async def run(self) -> None:
+        """Runs all steps."""
+        try:
+            await self._start()
+            await self._configure()
+            await self._call()
+            await self._surge()
+            await self._withdraw()
+            await self._drain()
+            await self._report()
+            await self._stop()
+        finally:
+            await self._fleet.close()
+
+    async def _start(self) -> None:
+        self.checks.title("Start: the store's stand-in, 6 targets, 6 nodes")
+        await self._fleet.start()
+        self.checks.expect(True, "every process answers on its port")
+
+    async def _configure(self) -> None:
+        self.checks.title("Questionnaire: check both, apply one, grant keys")
+        for name in ("athens", "mauritius"):
+            checked = await self._command("check", f"{_EXAMPLES}/{name}.ini")
+            self.checks.expect(checked.exit_code == 0, f"{name}.ini is valid")
+        applied = await self._command("apply", f"{_EXAMPLES}/athens.ini")
+        self.checks.expect(applied.exit_code == 0, "athens.ini is applied")
+        for organisation in (_LARGE, _OTHER):
+            granted = await self._command(
+                "keys-grant", organisation, "demo", "--json"
+            )
+            self.checks.expect(
+                granted.exit_code == 0, f"{organisation} gets a key"
+            )
+            self._keys[organisation] = str(json.loads(granted.output)["key"])
+
+    async def _call(self) -> None:
+        self.checks.title("Calls: status-desk -> lodgement -> settlement")
+        for organisation in (_LARGE, _OTHER):
+            held = await self._until_all(organisation, 200)
+            self.checks.expect(
+                held, f"every node serves {organisation} three services deep"
+            )
+        stranger = caller.Caller(self._addresses, "not-a-key")
+        refused = await stranger.request("GET", _DESK)
+        self.checks.expect(
+            refused.status == 401 and refused.outcome.startswith("not-run"),
+            "an unknown key is refused and nothing ran",
+        )
+        opened = await caller.Caller(self._addresses).request(
+            "GET", "/status-desk/opening-hours"
+        )
+        self.checks.expect(opened.status == 200, "an open route needs no key")
+        await stranger.close()
+
+    async def _surge(self) -> None:
+        total = _SURGE_RATE_PER_S * _SURGE_S
+        self.checks.title(
+            f"Surge: {_SURGE_RATE_PER_S} status checks/s for {_SURGE_S} s,"
+            " lodgements among them"
+        )
+        client = caller.Caller(self._addresses, self._keys[_LARGE])
+        checks: list[caller.Result] = []
+        lodgements: list[caller.Result] = []
+
+        async def request(number: int) -> None:
+            if number % 20 == 0:
+                lodgements.append(await client.request("POST", _LODGE, b"{}"))
+            else:
+                checks.append(await client.request("GET", _DESK))
+
+        await pacing.at_rate(_SURGE_RATE_PER_S, total, request)
+        served = sum(answer.status == 200 for answer in checks)
+        lodged = sum(answer.status == 200 for answer in lodgements)
+        told = sum(bool(answer.outcome) for answer in checks + lodgements)
+        print(
+            f"  {served} of {len(checks)} status checks and {lodged} of"
+            f" {len(lodgements)} lodgements were served"
+        )
+        self.checks.expect(
+            served < len(checks), "some status checks are refused"
+        )
+        self.checks.expect(served > 0, "status checks go on being served")
+        self.checks.expect(
+            lodged >= 0.95 * len(lodgements),
+            "at least 95% of the lodgements complete",
+        )
+        self.checks.expect(
+            told == total, "every caller is told how its request ended"
+        )
+        await client.close()
+
+    async def _withdraw(self) -> None:
+        self.checks.title("Keys: withdraw one while its caller is connected")
+        withdrawn = await self._command("keys-withdraw", _OTHER, "demo")
+        self.checks.expect(withdrawn.exit_code == 0, "the key is withdrawn")
+        self.checks.expect(
+            await self._until_all(_OTHER, 401), "every node refuses it"
+        )
+        self.checks.expect(
+            await self._until_all(_LARGE, 200), "the other key goes on"
+        )
+
+    async def _drain(self) -> None:
+        self.checks.title("Targets: stop one, start it again")
+        target = self._places[1].target.address
+        stopped = await self._command("targets-stop", target)
+        self.checks.expect(stopped.exit_code == 0, "the target is drained")
+        started = await self._command("targets-start", target)
+        self.checks.expect(started.exit_code == 0, "it takes calls again")
+
+    async def _report(self) -> None:
+        self.checks.title("Report: service-level burn over the whole fleet")
+        report = await self._command("report")
+        print(report.output)
+        self.checks.expect(
+            report.exit_code == 0 and "status-desk" in report.output,
+            "the report covers the fleet",
+        )
+
+    async def _stop(self) -> None:
+        self.checks.title("Stop: SIGTERM to every node")
+        codes: list[int] = []
+
+        async def stop(place: launcher.Place) -> None:
+            codes.append(await self._fleet.stop(f"node-{place.name}"))
+
+        async with trio.open_nursery() as nursery:
+            for place in self._places:
+                nursery.start_soon(stop, place)
+        self.checks.expect(set(codes) == {0}, "every node exits with code 0")
+        leaked = [
+            place.name
+            for place in self._places
+            for key in self._keys.values()
+            if key in self._fleet.log(f"node-{place.name}")
+        ]
+        self.checks.expect(not leaked, "no log holds a caller's key")
+
+    async def _command(self, *arguments: str) -> commands.CommandResult:
+        done = await commands.sassafras(
+            self._fleet, self._places[0], *arguments
+        )
+        if done.exit_code != 0:
+            print(f"  sassafras {' '.join(arguments)}: {done.output}")
+        return done
+
+    async def _until_all(self, organisation: str, status: int) -> bool:
+        """Returns whether every node comes to answer with a status."""
+        clients = [
+            caller.Caller([address], self._keys[organisation])
+            for address in self._addresses
+        ]
+        with trio.move_on_after(_SETTLE_S):
+            while True:
+                answers = [await c.request("GET", _DESK) for c in clients]
+                if all(answer.status == status for answer in answers):
+                    return True
+                await trio.sleep(_POLL_S)
+        return False
+
+
+def main() -> int:
+    """Runs the demonstration."""
+    demo = Demo()
+    trio.run(demo.run)
+    failed = demo.checks.failed
+    print(f"\n{'all claims held' if not failed else f'{failed} claims failed'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/demo/commands.py
@@ -0,0 +1,37 @@
+"""Runs the operators' command line against a fleet."""
+
+import dataclasses
+import pathlib
+import subprocess
+import sys
+
+import trio
+
+from sassafras_standins.fleet import launcher
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandResult:
+    """How a command ended."""
+
+    exit_code: int
+    output: str
+
+
+async def sassafras(
+    fleet: launcher.Fleet, node: launcher.Place, *arguments: str
+) -> CommandResult:
+    """Runs `sassafras` against the administration address of a node."""
+    binary = pathlib.Path(sys.executable).with_name("sassafras")
+    finished = await trio.run_process(
+        [
+            str(binary),
+            *arguments,
+            f"--node={node.admin_address}",
+            f"--credential_file={fleet.credential_file}",
+        ],
+        capture_stdout=True,
+        stderr=subprocess.STDOUT,
+        check=False,
+    )
+    return CommandResult(finished.returncode, finished.stdout.decode())
--- a/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
@@ -10,6 +10,7 @@
 import tempfile
 
 from sassafras_base import errors
+from sassafras_base import hashing
 from sassafras_policy.calls import messages
 from sassafras_policy.configuration import document as documents
 from sassafras_wire.configuration import models as configuration_models
@@ -26,6 +27,8 @@
 _STOP_TIMEOUT_S = 20.0
 _BODY_LIMIT = 4 * 1024 * 1024
 _SECRET = "a-secret-for-loopback-fleets-only"
+_CREDENTIAL = "a-credential-for-loopback-fleets-only"
+OPERATOR = "demo-operator"
 
 CONFIGURATION_KEY = "/sassafras/config"
 
@@ -83,6 +86,7 @@
       places: Its hosts.
       store_address: Address of the store stand-in.
       folder: Settings and logs of the processes.
+      credential_file: Credential of an operator who may change things.
     """
 
     def __init__(self, places: list[Place], extra_settings: str = "") -> None:
@@ -93,12 +97,23 @@
         self._extra_settings = extra_settings
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         (self.folder / "secret").write_text(_SECRET)
+        self.credential_file = self.folder / "credential"
+        self.credential_file.write_text(_CREDENTIAL)
+        (self.folder / "operators.ini").write_text(
+            f"[{OPERATOR}]\nrole = change\n"
+            f"digest = {hashing.digest(_CREDENTIAL)}\n"
+        )
+
+    async def start(self, document: documents.Document | None = None) -> None:
+        """Starts everything and waits until all addresses are served.
 
-    async def start(self, document: documents.Document) -> None:
-        """Starts everything and waits until all targets take calls."""
+        Args:
+          document: The first configuration; None to start without one.
+        """
         self.start_store()
         await _wait_port(self.store_address)
-        await self.write_configuration(document, 0)
+        if document is not None:
+            await self.write_configuration(document, 0)
         for place in self.places:
             self.start_target(place)
             self.start_node(place)
@@ -238,6 +253,8 @@
             f"seeds = {seeds}\n"
             "[store]\n"
             f"endpoints = {self.store_address}\n"
+            "[admin]\n"
+            f"operators_file = {self.folder / 'operators.ini'}\n"
             f"{self._extra_settings}"
         )
 
