--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -12,6 +12,7 @@
 from sassafras_policy.configuration import indexes
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
+from sassafras_policy.membership import roster as rosters
 from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
 from sassafras_policy.retries import backoff
@@ -29,6 +30,7 @@
 from sassafras_node.peers import outbox
 from sassafras_node.peers import pool as peer_pool
 from sassafras_node.peers import views
+from sassafras_node.reports import recorder
 from sassafras_node.targets import beside
 
 
@@ -87,6 +89,7 @@
       peer_pools: Call connections to peers.
       silence: When neighbours were last heard.
       outbox: Membership changes still to be sent.
+      recorder: How root requests ended; fed by callers' sessions.
       supervisors: Running supervisors by path.
       changed: Set and replaced when membership or configuration changes.
       watch_wanted: Set while this node is its availability zone's watcher.
@@ -145,11 +148,13 @@
         )
         self.silence = silence.SilenceTracker()
         self.outbox = outbox.Outbox(self.table)
+        self.recorder = recorder.Recorder(self.configuration, clock)
         self.supervisors: dict[str, supervision.Supervisor] = {}
         self.changed = trio.Event()
         self.watch_wanted = trio.Event()
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
+        self.roster.subscribe(self._on_roster)
 
     def _on_member(self, record: records.NodeRecord) -> None:
         del record
@@ -161,6 +166,11 @@
         self._configure_limiter()
         self._wake()
 
+    def _on_roster(self, roster: rosters.Roster) -> None:
+        del roster
+        self._configure_limiter()
+        self._wake()
+
     def _configure_limiter(self) -> None:
         index = self.configuration.index
         if index is not None:
