Run requests with an idempotency key once, at the home node of the key

A caller that got no answer could not repeat an at-most-once request safely; `Idempotency-Key` was not read.

The home of (organisation, route, key) is chosen by rendezvous hashing over the service's members of the roster, and the call runs only beside it. Records are bounded (20,000, 4 MiB of answers, 900 s); a full table refuses. A new home claims the record from the earlier one (`record_claim`), which hands it over only when it has applied the same epoch. Roster members carry the incarnation that joined, so that a restarted home knows that it has lost records and answers unknown for 900 s. The first request of a key runs on when its caller disconnects.

A restart loses records, also a planned one; its keys answer unknown for 900 s.

--- a/packages/sassafras-node/src/sassafras_node/calls/contexts.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/contexts.py
@@ -38,11 +38,14 @@
     Attributes:
       context: What it inherited from its root request.
       authority: Whom to ask for retries.
+      idempotency_scope: Digest of organisation, route and idempotency key;
+        empty without a key.
       progress: Whether it may have run, as far as this node knows.
     """
 
     context: messages.CallContext
     authority: RetryAuthority
+    idempotency_scope: str = ""
     progress: progresses.Progress = dataclasses.field(
         default_factory=progresses.Progress
     )
--- a/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
@@ -18,6 +18,7 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import deadlines
+from sassafras_node.calls import idempotent
 from sassafras_node.calls import local
 
 _RETRY_AFTER_MS = 1000
@@ -33,10 +34,11 @@
     call: contexts.ActiveCall,
 ) -> messages.Answer:
     """Sends a call to a target of its service, within its deadline."""
+    steps = _attempt_and_retry
+    if call.idempotency_scope:
+        steps = _send_to_home
     answer = await deadlines.bounded(
-        runtime,
-        call,
-        functools.partial(_attempt_and_retry, runtime, request, call),
+        runtime, call, functools.partial(steps, runtime, request, call)
     )
     if (
         answer.outcome is outcomes.Outcome.NOT_RUN
@@ -63,6 +65,28 @@
     return False
 
 
+async def _send_to_home(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+) -> messages.Answer:
+    """Sends a call to the home of its key, and nowhere else."""
+    home = runtime.homes.home_of(request.service, call.idempotency_scope)
+    if home == runtime.table.own_id:
+        return await idempotent.serve(runtime, request, call)
+    record = runtime.table.get(home) if home else None
+    if record is None:
+        return idempotent.home_unavailable("the key's home is not known")
+    answer = await _call_peer(runtime, request, call, record)
+    if answer.outcome is not outcomes.Outcome.NOT_RUN:
+        return answer
+    if not call.progress.may_have_run:
+        # This request did not run, but an earlier one with the key may have.
+        return idempotent.home_unavailable("the key's home is not reachable")
+    call.progress.may_have_run = False
+    return answer
+
+
 async def _attempt_and_retry(
     runtime: runtimes.Runtime,
     request: messages.Request,
@@ -182,6 +206,7 @@
         deadline_ms=int(remaining_s * 1000),
         depth=context.depth,
         at_most_once=context.at_most_once,
+        idempotency_key=call.idempotency_scope,
         method=request.method,
         path=request.path,
         headers=list(fields.for_target(request.headers)),
--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -12,6 +12,7 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import dispatch
+from sassafras_node.calls import idempotent
 from sassafras_node.calls import retrying
 
 _RETRY_AFTER_MS = 1000
@@ -55,11 +56,15 @@
             f"organisation {organisation} is over its rate",
             retry_after_ms=_RETRY_AFTER_MS,
         )
+    scope = idempotent.read_key(request, entry, organisation)
+    if isinstance(scope, messages.Answer):
+        return scope
     call = contexts.ActiveCall(
         context=_new_context(runtime, request, entry, organisation),
         authority=contexts.LocalAuthority(
             allowance.RetryAllowance(index.document.retry_limit)
         ),
+        idempotency_scope=scope,
     )
     runtime.retry_guard.first_attempt(runtime.clock.now())
     return await dispatch.dispatch(runtime, request, call)
@@ -103,7 +108,12 @@
         depth=parent.context.depth + 1,
         at_most_once=entry.route.at_most_once,
     )
-    call = contexts.ActiveCall(context=context, authority=parent.authority)
+    scope = idempotent.read_key(request, entry, context.organisation)
+    if isinstance(scope, messages.Answer):
+        return scope
+    call = contexts.ActiveCall(
+        context=context, authority=parent.authority, idempotency_scope=scope
+    )
     return await retrying.serve_sub_call(
         runtime, request, call, execution.repeats
     )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
@@ -0,0 +1,282 @@
+"""Calls with an idempotency key, at the home node of the key."""
+
+import dataclasses
+import enum
+import functools
+
+from sassafras_base import errors
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import homes
+from sassafras_policy.idempotency import records
+from sassafras_wire.http import fields
+from sassafras_wire.peer import converters
+from sassafras_wire.peer import models
+import trio
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+from sassafras_node.calls import deadlines
+from sassafras_node.calls import local
+
+_RETRY_AFTER_MS = 1000
+_MAXIMUM_KEY_LENGTH = 255
+_CLAIM_TIMEOUT_S = 1.0
+
+
+class Holding(enum.StrEnum):
+    """What an earlier home says about a key.
+
+    Attributes:
+      NONE: It has no record and will not run the key any more.
+      HELD: It has handed its record over.
+      UNKNOWN: The request runs there, or the record may have been lost.
+    """
+
+    NONE = "none"
+    HELD = "held"
+    UNKNOWN = "unknown"
+
+
+def read_key(
+    request: messages.Request, entry: indexes.RouteEntry, organisation: str
+) -> str | messages.Answer:
+    """Returns the scope of the request's key, or why the key is refused.
+
+    The scope is empty without a key, and on routes whose requests may run
+    twice.
+    """
+    key = request.header(fields.IDEMPOTENCY_KEY)
+    if key is None or not entry.route.at_most_once:
+        return ""
+    if not 0 < len(key) <= _MAXIMUM_KEY_LENGTH or not key.isprintable():
+        return messages.refusal(
+            outcomes.Reason.BAD_REQUEST,
+            400,
+            f"Idempotency-Key must have 1 to {_MAXIMUM_KEY_LENGTH} characters",
+        )
+    if not organisation:
+        return messages.refusal(
+            outcomes.Reason.BAD_REQUEST,
+            400,
+            "Idempotency-Key is for requests with an organisation's key",
+        )
+    route = entry.route
+    return homes.scope_of(organisation, f"{route.method} {route.pattern}", key)
+
+
+async def serve(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+) -> messages.Answer:
+    """Serves a call at the home of its key, within its deadline."""
+    return await deadlines.bounded(
+        runtime, call, functools.partial(_serve, runtime, request, call)
+    )
+
+
+async def _serve(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+) -> messages.Answer:
+    scope = call.idempotency_scope
+    if runtime.homes.home_of(request.service, scope) != runtime.table.own_id:
+        return home_unavailable("the nodes disagree about the key's home")
+    fingerprint = homes.fingerprint(request.method, request.path, request.body)
+    table = runtime.idempotency
+    while True:
+        verdict = table.begin(scope, fingerprint, _now(runtime))
+        match verdict:
+            case records.Verdict.RUN:
+                return await _run(runtime, request, call)
+            case records.Verdict.WAIT:
+                # The first request runs, so a deadline says unknown.
+                call.progress.may_have_run = True
+                await runtime.running_keys[scope].wait()
+                call.progress.may_have_run = False
+            case records.Verdict.STORED:
+                return _stored(table.lookup(scope, _now(runtime)))
+            case records.Verdict.MISMATCH:
+                return mismatch()
+            case records.Verdict.FULL:
+                return messages.refusal(
+                    outcomes.Reason.MEMORY,
+                    503,
+                    "the table of idempotency keys is full",
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
+
+
+async def _run(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+) -> messages.Answer:
+    """Runs the first request of a key, also when its caller goes away.
+
+    A caller that has lost its connection comes back with the same key and
+    gets the answer then. The deadline still ends the call.
+    """
+    scope = call.idempotency_scope
+    runtime.running_keys[scope] = trio.Event()
+    answer: messages.Answer | None = None
+    try:
+        with trio.CancelScope(shield=True):
+            answer = await deadlines.bounded(
+                runtime,
+                call,
+                functools.partial(_claim_and_run, runtime, request, call),
+            )
+    finally:
+        _end(runtime, call, answer)
+        runtime.running_keys.pop(scope).set()
+    assert answer is not None
+    return answer
+
+
+def _end(
+    runtime: runtimes.Runtime,
+    call: contexts.ActiveCall,
+    answer: messages.Answer | None,
+) -> None:
+    """Stores how a call ended, or drops the record if it did not run."""
+    scope = call.idempotency_scope
+    if answer is None and call.progress.may_have_run:
+        answer = messages.unknown(
+            outcomes.Reason.CONNECTION_LOST, 502, "the first request failed"
+        )
+    if (
+        answer is None
+        or answer.outcome is outcomes.Outcome.NOT_RUN
+        or answer.reason is outcomes.Reason.HOME_UNAVAILABLE
+    ):
+        runtime.idempotency.abandon(scope)
+        return
+    if runtime.idempotency.is_running(scope):
+        stored = dataclasses.replace(answer, levels=(), load=0.0)
+        runtime.idempotency.finish(scope, stored, _now(runtime))
+
+
+async def _claim_and_run(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+) -> messages.Answer:
+    now = _now(runtime)
+    scope = call.idempotency_scope
+    if runtime.homes.has_lost_records(now):
+        return home_unavailable("the key's home has lost earlier records")
+    for earlier in runtime.homes.earlier_homes(request.service, scope, now):
+        record = await _claim(runtime, earlier, request.service, scope)
+        if record is None:
+            return home_unavailable("an earlier home of the key is gone")
+        if record.answer is None:
+            continue
+        runtime.idempotency.abandon(scope)
+        runtime.idempotency.adopt(scope, record, _now(runtime))
+        fingerprint = homes.fingerprint(
+            request.method, request.path, request.body
+        )
+        if record.fingerprint != fingerprint:
+            return mismatch()
+        return _stored(record)
+    return await local.serve(runtime, request, call)
+
+
+async def _claim(
+    runtime: runtimes.Runtime, node_id: str, service: str, scope: str
+) -> records.Record | None:
+    """Asks an earlier home for a record.
+
+    Returns:
+      The record; one without an answer when there is none; None when that
+      cannot be known.
+    """
+    claim = models.RecordClaim(
+        epoch=runtime.homes.epoch, service=service, scope=scope
+    )
+    reply = None
+    with trio.move_on_after(_CLAIM_TIMEOUT_S):
+        try:
+            reply = await runtime.peer_pools.ask(
+                node_id, claim, models.RecordHandover
+            )
+        except errors.SassafrasError:
+            return None
+    if reply is None or reply.scope != scope:
+        return None
+    if reply.holding == Holding.NONE:
+        return records.Record(b"")
+    if reply.holding != Holding.HELD or reply.answer is None:
+        return None
+    try:
+        answer = converters.message_to_answer(reply.answer)
+    except ValueError:
+        return None
+    return records.Record(reply.fingerprint, answer, reply.kept)
+
+
+def hand_over(
+    runtime: runtimes.Runtime, claim: models.RecordClaim
+) -> models.RecordHandover:
+    """Answers a claim by the new home of a key.
+
+    A node that has not seen the claimer's epoch may still run the key for
+    others that have not, and so must not say that it has no record. Neither
+    must one that would have to ask a still earlier home.
+    """
+    now = _now(runtime)
+    holding = Holding.UNKNOWN
+    record = runtime.idempotency.lookup(claim.scope, now)
+    if record is not None and record.answer is not None:
+        runtime.idempotency.release(claim.scope)
+        return models.RecordHandover(
+            scope=claim.scope,
+            holding=Holding.HELD,
+            fingerprint=record.fingerprint,
+            kept=record.kept,
+            answer=converters.answer_to_message(0, record.answer),
+        )
+    if (
+        record is None
+        and runtime.homes.epoch >= claim.epoch
+        and not runtime.homes.has_lost_records(now)
+        and not runtime.homes.earlier_homes(claim.service, claim.scope, now)
+    ):
+        holding = Holding.NONE
+    return models.RecordHandover(scope=claim.scope, holding=holding)
+
+
+def home_unavailable(detail: str) -> messages.Answer:
+    """Returns the answer when an earlier request may have run elsewhere."""
+    return messages.unknown(outcomes.Reason.HOME_UNAVAILABLE, 503, detail)
+
+
+def mismatch() -> messages.Answer:
+    """Returns the answer to a key that belongs to another request."""
+    return messages.refusal(
+        outcomes.Reason.DUPLICATE,
+        422,
+        "the idempotency key was used for a request with other contents",
+    )
+
+
+def _stored(record: records.Record | None) -> messages.Answer:
+    assert record is not None
+    assert record.answer is not None
+    if record.kept:
+        return record.answer
+    return dataclasses.replace(
+        record.answer,
+        reason=outcomes.Reason.DUPLICATE,
+        status=410,
+        headers=(("content-type", "text/plain; charset=utf-8"),),
+        body=b"ran: the answer had no room and was not kept\n",
+    )
+
+
+def _now(runtime: runtimes.Runtime) -> float:
+    return runtime.clock.now_with_suspend()
--- a/packages/sassafras-node/src/sassafras_node/calls/inbound.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/inbound.py
@@ -8,6 +8,7 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import deadlines
+from sassafras_node.calls import idempotent
 from sassafras_node.calls import local
 
 
@@ -32,7 +33,13 @@
         headers=tuple(message.headers),
         body=message.body,
     )
-    call = contexts.ActiveCall(context=context, authority=authority)
+    call = contexts.ActiveCall(
+        context=context,
+        authority=authority,
+        idempotency_scope=message.idempotency_key,
+    )
+    if call.idempotency_scope:
+        return await idempotent.serve(runtime, request, call)
     return await deadlines.bounded(
         runtime, call, functools.partial(local.serve, runtime, request, call)
     )
--- a/packages/sassafras-node/src/sassafras_node/peers/handlers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handlers.py
@@ -14,6 +14,7 @@
 from sassafras_wire.peer import models
 
 from sassafras_node import runtime as runtimes
+from sassafras_node.calls import idempotent
 
 Handler = Callable[
     [runtimes.Runtime, links.Link, models.Message],
@@ -90,6 +91,16 @@
     return None
 
 
+@message_handlers.register("record_claim")
+async def handle_record_claim(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> models.Message | None:
+    """Hands an idempotency record over to the new home of its key."""
+    del link
+    assert isinstance(message, models.RecordClaim)
+    return idempotent.hand_over(runtime, message)
+
+
 def document_content(runtime: runtimes.Runtime, kind: str) -> bytes:
     """Returns a document in force as it travels; empty when there is none."""
     if kind == ROSTER and runtime.roster.current.epoch:
--- a/packages/sassafras-node/src/sassafras_node/peers/pool.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/pool.py
@@ -1,5 +1,9 @@
 """Call connections to peers, one call at a time on each."""
 
+from collections.abc import AsyncIterator
+import contextlib
+from typing import TypeVar
+
 from sassafras_base import errors
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
@@ -7,6 +11,8 @@
 
 from sassafras_node.calls import contexts
 
+M = TypeVar("M", bound=models.Message)
+
 
 class PeerPools:
     """Keeps idle call connections for each peer."""
@@ -46,6 +52,26 @@
           ConnectionLostError: The connection ended; the call may have run.
           ProtocolError: The peer broke the protocol; the call may have run.
         """
+        async with self._link(node_id) as link:
+            return await _exchange(link, message, call)
+
+    async def ask(
+        self, node_id: str, message: models.Message, kind: type[M]
+    ) -> M:
+        """Sends a control message to a peer and returns its reply.
+
+        Raises:
+          UnreachableError: The peer could not be reached.
+          ConnectionLostError: The connection ended.
+          ProtocolError: The peer broke the protocol.
+        """
+        async with self._link(node_id) as link:
+            await link.send(message)
+            return await link.expect(kind)
+
+    @contextlib.asynccontextmanager
+    async def _link(self, node_id: str) -> AsyncIterator[links.Link]:
+        """Lends a connection; one that was not used to the end is closed."""
         permits = self._permits.get(node_id)
         if permits is None:
             permits = trio.CapacityLimiter(self._connections_per_peer)
@@ -57,13 +83,12 @@
         try:
             link = await self._take(node_id)
             try:
-                answer = await _exchange(link, message, call)
+                yield link
             except BaseException:
                 with trio.CancelScope(shield=True):
                     await link.abort()
                 raise
             self._idle.setdefault(node_id, []).append(link)
-            return answer
         finally:
             permits.release_on_behalf_of(borrower)
 
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -10,6 +10,8 @@
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import homes
+from sassafras_policy.idempotency import records as idempotency_records
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
@@ -81,6 +83,9 @@
       retry_policy: Whether a failed call is tried again.
       retry_guard: Retries of this node as a part of its first attempts.
       backoff: Waits before a retry at the same target.
+      homes: Which node keeps the record of an idempotency key.
+      idempotency: Idempotency records kept by this node.
+      running_keys: Set when the first request of a key has ended.
       store: Client of the platform's key-value service.
       credentials: Identity and peer secret.
       drain: Work in flight and planned stop.
@@ -124,6 +129,11 @@
         )()
         self.retry_guard = guard.RetryGuard()
         self.backoff = backoff.Backoff(rng)
+        self.homes = homes.Homes(
+            own.node_id, own.incarnation, clock.now_with_suspend()
+        )
+        self.idempotency = idempotency_records.Records()
+        self.running_keys: dict[str, trio.Event] = {}
         self.store = store_client.StoreClient(settings.store)
         self.credentials = links.Credentials(
             identity=authentication.Identity(
@@ -167,7 +177,7 @@
         self._wake()
 
     def _on_roster(self, roster: rosters.Roster) -> None:
-        del roster
+        self.homes.adopt(roster, self.clock.now_with_suspend())
         self._configure_limiter()
         self._wake()
 
--- a/packages/sassafras-policy/src/sassafras_policy/membership/roster.py
+++ b/packages/sassafras-policy/src/sassafras_policy/membership/roster.py
@@ -15,10 +15,13 @@
     Attributes:
       node_id: Address of the node's peer listener.
       service: Service of the target beside it.
+      incarnation: Its incarnation when it joined. A later incarnation has lost
+        the idempotency records of the one that joined.
     """
 
     node_id: str
     service: str
+    incarnation: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,7 +109,7 @@
     """
     present: Collection[str] = set(roster.node_ids)
     return tuple(
-        Member(record.node_id, record.service)
+        Member(record.node_id, record.service, record.incarnation)
         for record in known
         if record.node_id not in present
         and record.status is records.Status.ALIVE
--- a/packages/sassafras-wire/src/sassafras_wire/membership/rosters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/membership/rosters.py
@@ -19,6 +19,7 @@
 
     node_id: str = pydantic.Field(min_length=1)
     service: str
+    incarnation: int = 0
 
 
 class RosterModel(_Model):
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -124,6 +124,42 @@
     granted: bool
 
 
+@message_types.register("record_claim")
+class RecordClaim(Message):
+    """Asks an earlier home of a key for its idempotency record.
+
+    Attributes:
+      epoch: Roster epoch that makes the sender the home.
+      service: Service of the route.
+      scope: Digest of organisation, route and key.
+    """
+
+    type: Literal["record_claim"] = "record_claim"
+    epoch: int
+    service: str
+    scope: str = pydantic.Field(max_length=64)
+
+
+@message_types.register("record_handover")
+class RecordHandover(Message):
+    """Answers a claim; the sender keeps the record no longer.
+
+    Attributes:
+      scope: The key of the claim.
+      holding: `none`, `held` or `unknown`.
+      fingerprint: Digest of the request.
+      kept: Whether the answer is whole.
+      answer: The stored answer.
+    """
+
+    type: Literal["record_handover"] = "record_handover"
+    scope: str
+    holding: str
+    fingerprint: bytes = b""
+    kept: bool = True
+    answer: AnswerMessage | None = None
+
+
 class NodeRecordModel(pydantic.BaseModel):
     """A membership record as it travels between nodes."""
 
--- a/tests/common/nodes.py
+++ b/tests/common/nodes.py
@@ -162,6 +162,7 @@
 
     def set_roster(self, epoch=1):
         """Puts a roster of all hosts with targets in force everywhere."""
+        earlier = self.hosts[0].runtime.roster.current.node_ids
         roster = rosters.Roster(
             epoch,
             tuple(
@@ -173,6 +174,7 @@
                 for host in self.hosts
                 if host.service
             ),
+            earlier=(earlier,),
         )
         for host in self.hosts:
             host.runtime.roster.offer(roster)
