--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/measure/execution.py
@@ -0,0 +1,261 @@
+"""Retries and executions of requests while processes die under load.
+
+A small fleet serves a chain of depth three and at-most-once entries. The rows
+without control use retry policy `always`, and callers that repeat every
+request without a key until it succeeds.
+"""
+
+import collections
+import dataclasses
+import itertools
+import pathlib
+import random
+import signal
+import tempfile
+
+import trio
+
+from sassafras_standins.fleet import launcher
+from sassafras_standins.fleet import samples
+from sassafras_standins.load import caller
+from sassafras_standins.load import pacing
+from sassafras_standins.measure import figures
+
+_SEED = 20_240
+_CHAIN_RATE_PER_S = 10
+_CHAIN_REQUESTS = 40
+_TARGET_REPEATS = 2
+_RETRY_BOUND = 3
+_ENTRY_RATE_PER_S = 50
+_ENTRY_REQUESTS = 600
+_CALLER_ATTEMPTS = 4
+_START_TIMEOUT_S = 20.0
+_LEDGERS = ("ledger-1", "ledger-2", "ledger-3")
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """An at-most-once request and what its caller was told.
+
+    Attributes:
+      outcomes: Outcome of each attempt; empty when the connection was lost.
+    """
+
+    outcomes: list[str]
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether every attempt was answered with "not run"."""
+        return all(item.startswith("not-run") for item in self.outcomes)
+
+
+class _Row:
+    """One fleet and its figures."""
+
+    def __init__(self, folder: pathlib.Path, controlled: bool) -> None:
+        self._controlled = controlled
+        self._folder = folder
+        self._random = random.Random(_SEED)
+        self._entries: dict[str, _Entry] = {}
+        self.places = [
+            self._place("desk", "desk", ["/accounts/7"]),
+            self._place("accounts", "accounts", ["/ledger/7"]),
+            *(self._place(name, "ledger", []) for name in _LEDGERS),
+        ]
+        policy = "budgeted" if controlled else "always"
+        self.fleet = launcher.Fleet(
+            self.places, f"[policy]\nretries = {policy}\n"
+        )
+        self._caller = caller.Caller(
+            [place.caller_address for place in self.places],
+            samples.NATIONAL_KEY,
+        )
+
+    def _place(
+        self, name: str, service: str, sub_calls: list[str]
+    ) -> launcher.Place:
+        return launcher.make_place(
+            name,
+            "zone-a",
+            service=service,
+            sub_calls=sub_calls,
+            sub_call_retries=_TARGET_REPEATS,
+            slots=50,
+            service_ms=20.0,
+            journal=str(self._folder / name),
+        )
+
+    async def run(self) -> list[figures.Figure]:
+        """Runs both phases and returns the figures."""
+        try:
+            await self.fleet.start(samples.document())
+            await self._wait_ready()
+            retries = await self._count_retries()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._make_faults)
+                await pacing.at_rate(
+                    _ENTRY_RATE_PER_S, _ENTRY_REQUESTS, self._send_entry
+                )
+        finally:
+            await self._caller.close()
+            await self.fleet.close()
+        runs = self._executions()
+        not_run_but_ran = sum(
+            1
+            for request_id, entry in self._entries.items()
+            if entry.is_not_run and runs[request_id]
+        )
+        ran_twice = sum(
+            1 for request_id in self._entries if runs[request_id] > 1
+        )
+        told = collections.Counter(
+            entry.outcomes[-1].split(";")[0] or "lost"
+            for entry in self._entries.values()
+        )
+        suffix = "" if self._controlled else "_no_control"
+        bounds = (
+            figures.Sense.AT_MOST if self._controlled else (figures.Sense.NONE)
+        )
+        return [
+            figures.Figure(
+                f"retries_max{suffix}", retries, "retries", bounds, _RETRY_BOUND
+            ),
+            figures.Figure(
+                f"not_run_but_ran{suffix}", not_run_but_ran, "requests", bounds
+            ),
+            figures.Figure(f"ran_twice{suffix}", ran_twice, "requests", bounds),
+            *(
+                figures.Figure(
+                    f"entries_told_{outcome.replace('-', '_')}{suffix}",
+                    count,
+                    "requests",
+                )
+                for outcome, count in sorted(told.items())
+            ),
+        ]
+
+    async def _wait_ready(self) -> None:
+        """Waits until every node serves the chain and finds homes of keys."""
+        with trio.fail_after(_START_TIMEOUT_S):
+            good = 0
+            while good < 4 * len(self.places):
+                status = await self._caller.request("GET", "/desk/ready")
+                entry = await self._caller.request(
+                    "POST",
+                    "/ledger/ready",
+                    headers=(("idempotency-key", f"ready-{good}"),),
+                )
+                ready = status.status == 200 and entry.status == 200
+                good = good + 1 if ready else 0
+                if not ready:
+                    await trio.sleep(0.1)
+
+    async def _count_retries(self) -> int:
+        """Returns the most retries of one request while all ledgers fail."""
+        ledgers = [p for p in self.places if p.target.service == "ledger"]
+        await self._set_behaviour(ledgers, {"fail": True})
+
+        async def request(number: int) -> None:
+            await self._caller.request(
+                "GET", f"/desk/{number}", request_id=f"chain-{number}"
+            )
+
+        await pacing.at_rate(_CHAIN_RATE_PER_S, _CHAIN_REQUESTS, request)
+        arrivals: dict[str, collections.Counter[str]] = {}
+        for place in self.places:
+            counters = await self.fleet.control(
+                place.target.address, "/standin/counters"
+            )
+            counted = counters["arrivals"]
+            assert isinstance(counted, dict)
+            arrivals.setdefault(
+                place.target.service, collections.Counter()
+            ).update(counted)
+        await self._set_behaviour(ledgers, {})
+        return max(
+            _retries(
+                [
+                    arrivals[service][f"chain-{number}"]
+                    for service in ("desk", "accounts", "ledger")
+                ]
+            )
+            for number in range(_CHAIN_REQUESTS)
+        )
+
+    async def _set_behaviour(
+        self, places: list[launcher.Place], behaviour: dict[str, object]
+    ) -> None:
+        for place in places:
+            await self.fleet.control(
+                place.target.address, "/standin/behaviour", behaviour
+            )
+
+    async def _send_entry(self, number: int) -> None:
+        """Sends an entry as its caller would, half of them with a key."""
+        request_id = f"entry-{number}"
+        entry = _Entry([])
+        self._entries[request_id] = entry
+        has_key = self._controlled and number % 2 == 0
+        headers = (("idempotency-key", request_id),) if has_key else ()
+        for _ in range(_CALLER_ATTEMPTS):
+            result = await self._caller.request(
+                "POST", "/ledger/entry", b"entry", headers, request_id
+            )
+            entry.outcomes.append(result.outcome)
+            if result.status == 200:
+                return
+            is_safe = has_key or result.outcome.startswith("not-run")
+            if self._controlled and not is_safe:
+                return
+            await trio.sleep(0.1)
+
+    async def _make_faults(self) -> None:
+        """Kills, restarts, stops and resumes processes of the ledgers."""
+        by_name = {place.name: place for place in self.places}
+        names = list(_LEDGERS)
+        self._random.shuffle(names)
+        killed, stopped, node = (by_name[name] for name in names)
+        for _ in range(2):
+            await trio.sleep(0.8)
+            await self.fleet.kill(f"target-{killed.name}")
+            await trio.sleep(0.5)
+            self.fleet.start_target(killed)
+            await trio.sleep(0.8)
+            self.fleet.signal(f"target-{stopped.name}", signal.SIGSTOP)
+            await trio.sleep(1.2)
+            self.fleet.signal(f"target-{stopped.name}", signal.SIGCONT)
+            await trio.sleep(0.5)
+            await self.fleet.kill(f"node-{node.name}")
+            await trio.sleep(0.5)
+            self.fleet.start_node(node)
+
+    def _executions(self) -> collections.Counter[str]:
+        runs: collections.Counter[str] = collections.Counter()
+        for place in self.places:
+            path = pathlib.Path(place.target.journal)
+            if path.exists():
+                runs.update(path.read_text(encoding="utf-8").split())
+        return runs
+
+
+def _retries(arrivals: list[int]) -> int:
+    """Returns the retries of a chain from the arrivals at each depth.
+
+    Every execution makes one first attempt at the next service, so arrivals
+    beyond the number of executions above are retries.
+    """
+    total = max(0, arrivals[0] - 1)
+    for above, here in itertools.pairwise(arrivals):
+        total += max(0, here - above)
+    return total
+
+
+@figures.measurements.register("execution")
+async def measure() -> list[figures.Figure]:
+    """Returns the figures with control and the baseline without."""
+    results: list[figures.Figure] = []
+    for controlled in (True, False):
+        with tempfile.TemporaryDirectory(prefix="sassafras-") as folder:
+            row = _Row(pathlib.Path(folder), controlled)
+            results += await row.run()
+    return results
--- a/packages/sassafras-standins/src/sassafras_standins/target/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/target/server.py
@@ -27,12 +27,14 @@
     Attributes:
       settings: What it does.
       executions: How often each request id (`x-request-id`) was executed.
+      arrivals: How often each request id arrived, executed or not.
       seen_headers: Names of all header fields that ever arrived.
     """
 
     def __init__(self, settings: target_settings.TargetSettings) -> None:
         self.settings = settings
         self.executions: dict[str, int] = {}
+        self.arrivals: dict[str, int] = {}
         self.seen_headers: set[str] = set()
         self._started = 0
         self._finished = 0
@@ -80,13 +82,15 @@
 
     async def _execute(self, request: messages.Request) -> messages.Answer:
         self.seen_headers.update(name for name, _ in request.headers)
+        request_id = request.header("x-request-id") or ""
+        self.arrivals[request_id] = self.arrivals.get(request_id, 0) + 1
         if self._behaviour.get("fail"):
             return serving.answer(b'{"error": "failing"}', 500)
         if self._behaviour.get("hang"):
             await trio.sleep_forever()
         async with self._slots:
-            request_id = request.header("x-request-id") or ""
             self.executions[request_id] = self.executions.get(request_id, 0) + 1
+            self._write_journal(request_id)
             self._started += 1
             slow = float(self._behaviour.get("slow", 1.0))
             await trio.sleep(self.settings.service_ms / 1000 * slow)
@@ -122,11 +126,17 @@
                 break
         return status
 
+    def _write_journal(self, request_id: str) -> None:
+        if self.settings.journal:
+            with open(self.settings.journal, "a", encoding="utf-8") as journal:
+                journal.write(f"{request_id}\n")
+
     def _counters(self) -> dict[str, Any]:
         return {
             "started": self._started,
             "finished": self._finished,
             "executions": self.executions,
+            "arrivals": self.arrivals,
             "seen_headers": sorted(self.seen_headers),
         }
 
--- a/packages/sassafras-standins/src/sassafras_standins/target/settings.py
+++ b/packages/sassafras-standins/src/sassafras_standins/target/settings.py
@@ -16,6 +16,8 @@
       cold_start_s: Seconds of slow start that it announces.
       sub_calls: Paths that each call requests through the node, in order.
       sub_call_retries: How often it repeats a failed sub-call itself.
+      journal: File that gets a line with the request id of each execution;
+        unlike the counters it outlives a killed target.
     """
 
     address: str
@@ -27,3 +29,4 @@
     cold_start_s: float = 0.0
     sub_calls: list[str] = []
     sub_call_retries: int = 0
+    journal: str = ""
