--- a/tests/contract/test_cut_points.py
+++ b/tests/contract/test_cut_points.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from common import fake_targets
-from common import nodes
+from common import call_nodes as nodes
 import pytest
 from sassafras_base import errors
 from sassafras_node.calls import entry
--- a/tests/contract/test_forged_contexts.py
+++ b/tests/contract/test_forged_contexts.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from common import nodes
+from common import call_nodes as nodes
 import pytest
 from sassafras_base import errors
 from sassafras_node.calls import entry
--- a/tests/contract/test_retry_tree.py
+++ b/tests/contract/test_retry_tree.py
@@ -2,7 +2,7 @@
 
 import random
 
-from common import nodes
+from common import call_nodes as nodes
 import pytest
 from sassafras_node.calls import entry
 from sassafras_policy.calls import messages
