Make membership sound, spread changes in few hops, bound the store's use

Cause: a healed cut made each half mark the other dead before it could refute; records of gone nodes stayed for ever; changes travelled along one ring, N/3 hops; every node polled its zone's lease; a message could carry the whole table's changes again on each link.

Change: a claim that a node seen alive is dead makes it suspect first, and dead only if it is not refuted in time. Gone nodes are forgotten after `forget_after_s`; an older record cannot bring them back. Each node sends heartbeats to its successor on each of three rings that are hashed differently, so that the number of hops grows with log N. `peers/rejoin` tries one missing node or seed every 5 s. The outbox sends changes once, in batches of 200, and not back to where they came from. A node publishes its revision in its own record, at most once in 0.25 s for each node of the fleet. A refused document crosses a link once. Only three nodes of a zone, the first by hash, campaign for its lease; two of them wait on a watch of its key. A watch ends with the lease. While draining, answers carry `connection: close`, a request counts from its first byte, and the caller port closes before the node exits.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -19,22 +19,25 @@
     peer: str,
     handler: Handler,
 ) -> None:
-    """Answers the requests of a connection, one after another."""
+    """Answers the requests of a connection, one after another.
+
+    A request counts as in flight from its first byte on, so that a planned
+    stop waits for a request that is still arriving.
+    """
     connection = http_server.ServerConnection(stream, peer, runtime.http_limits)
-    while True:
-        try:
-            request = await connection.receive()
-        except http_server.RequestRefusedError as error:
-            await _refuse(connection, error)
-            return
-        if request is None:
-            return
+    while await connection.await_request():
         runtime.drain.enter()
         try:
+            request = await connection.receive()
+            if request is None:
+                return
             answer = await _handle(connection, request, handler)
             if answer is None:
                 return
-            await connection.send(answer)
+            await connection.send(answer, close=runtime.drain.is_draining)
+        except http_server.RequestRefusedError as error:
+            await _refuse(connection, error)
+            return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         finally:
--- a/packages/sassafras-node/src/sassafras_node/listening.py
+++ b/packages/sassafras-node/src/sassafras_node/listening.py
@@ -35,6 +35,7 @@
         self._serve = serve
         self._listeners: list[trio.SocketListener] = []
         self._nursery: trio.Nursery | None = None
+        self._closed = False
 
     async def bind(self) -> None:
         """Binds the address.
@@ -57,17 +58,22 @@
                 self._nursery = None
 
     async def accept(self) -> None:
-        """Accepts connections until cancelled."""
+        """Accepts connections until cancelled; idle once closed."""
         listener = self._listeners[0]
-        while True:
-            stream = await listener.accept()
+        while not self._closed:
+            try:
+                stream = await listener.accept()
+            except trio.ClosedResourceError:
+                break
             if self._nursery is None:
                 await trio.aclose_forcefully(stream)
                 continue
             self._nursery.start_soon(self._run_session, stream)
+        await trio.sleep_forever()
 
     async def close(self) -> None:
         """Closes the socket; running sessions go on."""
+        self._closed = True
         for listener in self._listeners:
             await listener.aclose()
 
--- a/packages/sassafras-node/src/sassafras_node/membership/detector.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/detector.py
@@ -5,7 +5,6 @@
 import trio
 
 from sassafras_node import runtime as runtimes
-from sassafras_node.membership import neighbours
 
 _CHECK_INTERVAL_S = 0.25
 
@@ -22,23 +21,41 @@
     return f"node {node_id} is dead after {silent_s:.1f} s of silence"
 
 
+@events.declare(510, "WARNING")
+def claim_believed(node_id: str) -> str:
+    """A peer called a node dead and the node has not refuted it."""
+    return f"node {node_id} is dead, as a peer says"
+
+
 async def run(runtime: runtimes.Runtime) -> None:
     """Checks the neighbours until cancelled."""
     settings = runtime.settings.peers
     last_check = runtime.clock.now_with_suspend()
+    # Incarnation and version of each neighbour; a rise is a sign of life even
+    # when it did not come from the neighbour itself.
+    versions: dict[str, tuple[int, int]] = {}
+    doubted_since: dict[tuple[str, int, int], float] = {}
     while True:
         await trio.sleep(_CHECK_INTERVAL_S)
-        now = runtime.clock.now_with_suspend()
-        paused = now - last_check > settings.suspect_after_s
-        last_check = now
-        watched = neighbours.choose(runtime)
+        suspended_now = runtime.clock.now_with_suspend()
+        paused = suspended_now - last_check > settings.suspect_after_s
+        last_check = suspended_now
+        now = runtime.clock.now()
+        watched = runtime.neighbours.choose(now)
         runtime.silence.keep_only(set(watched))
         for node_id in watched:
-            if paused:
-                # This process was paused; the silence is its own.
-                runtime.silence.heard(node_id, runtime.clock.now())
-                continue
+            version = _version(runtime.table.get(node_id))
+            if paused or versions.get(node_id, version) != version:
+                # After a pause of this process the silence is its own.
+                runtime.silence.heard(node_id, now)
+            versions[node_id] = version
             _check(runtime, node_id)
+        versions = {node: versions[node] for node in watched}
+        doubted_since = _check_doubted(runtime, doubted_since, paused)
+
+
+def _version(record: records.NodeRecord | None) -> tuple[int, int]:
+    return (record.incarnation, record.version) if record else (0, 0)
 
 
 def _check(runtime: runtimes.Runtime, node_id: str) -> None:
@@ -51,3 +68,26 @@
         node_id, records.Status.SUSPECT
     ):
         neighbour_suspect(node_id, silent_s)
+
+
+def _check_doubted(
+    runtime: runtimes.Runtime,
+    since: dict[tuple[str, int, int], float],
+    paused: bool,
+) -> dict[tuple[str, int, int], float]:
+    """Believes claims of death that were not refuted in time."""
+    settings = runtime.settings.peers
+    patience_s = settings.dead_after_s - settings.suspect_after_s
+    now = runtime.clock.now()
+    still = {
+        (node_id, *_version(record)): now
+        for node_id, record in runtime.table.doubted.items()
+    }
+    if not paused:
+        still = {item: since.get(item, now) for item in still}
+    for item, first in still.items():
+        if now - first > patience_s and runtime.table.mark(
+            item[0], records.Status.DEAD
+        ):
+            claim_believed(item[0])
+    return still
--- a/packages/sassafras-node/src/sassafras_node/membership/neighbours.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/neighbours.py
@@ -1,23 +1,72 @@
-"""The neighbours of a node on the ring of hashed ids."""
+"""The neighbours to which a node sends heartbeats."""
 
 from sassafras_base import hashing
-
-from sassafras_node import runtime as runtimes
+from sassafras_policy.membership import table as tables
 
 NEIGHBOUR_COUNT = 3
 
+# Alone, a node tries other seeds after this time, so that three seeds that
+# are down do not keep it out of the fleet.
+_SEED_ROTATION_S = 5.0
+
+
+class Neighbours:
+    """Chooses the successors of a node on rings of hashed ids.
+
+    There is one ring for each neighbour, each hashed in its own way. The
+    successors on a single ring would pass a change on to the nearest third of
+    nodes only, so that it took N/3 hops to reach all; over several rings the
+    number of hops grows with the logarithm of N.
+    """
+
+    def __init__(self, table: tables.Table, seeds: tuple[str, ...]) -> None:
+        self._table = table
+        self._seeds = [seed for seed in seeds if seed != table.own_id]
+        self._version = -1
+        self._chosen: list[str] = []
+        self._positions: dict[str, tuple[int, ...]] = {}
+
+    @property
+    def seeds(self) -> list[str]:
+        """The seeds of the settings, without the node itself."""
+        return list(self._seeds)
+
+    def choose(self, now: float) -> list[str]:
+        """Returns the successors, or some seeds while no peer is known."""
+        if self._version != self._table.ring_version:
+            self._version = self._table.ring_version
+            self._chosen = self._successors()
+        return self._chosen or self._some_seeds(now)
+
+    def _some_seeds(self, now: float) -> list[str]:
+        turn = str(int(now / _SEED_ROTATION_S))
+        return hashing.rendezvous(turn, self._seeds, NEIGHBOUR_COUNT)
+
+    def _successors(self) -> list[str]:
+        own = _positions(self._table.own_id)
+        known = {record.node_id for record in self._table.peers}
+        self._positions = {
+            node_id: self._positions.get(node_id) or _positions(node_id)
+            for node_id in known
+        }
+        chosen: list[str] = []
+        for ring in range(NEIGHBOUR_COUNT):
+            rest = known.difference(chosen)
+            if rest:
+                chosen.append(
+                    min(rest, key=lambda node: self._distance(node, own, ring))
+                )
+        return chosen
+
+    def _distance(
+        self, node_id: str, own: tuple[int, ...], ring: int
+    ) -> tuple[int, str]:
+        position = self._positions[node_id][ring]
+        return ((position - own[ring]) % 2**64, node_id)
+
 
-def choose(runtime: runtimes.Runtime) -> list[str]:
-    """Returns the successors on the ring, or the seeds when alone."""
-    own_id = runtime.table.own_id
-    peers = [record.node_id for record in runtime.table.peers]
-    if not peers:
-        return [s for s in runtime.settings.peers.seeds if s != own_id][
-            :NEIGHBOUR_COUNT
-        ]
-    own_position = hashing.stable_hash(own_id)
-    ring = sorted(
-        peers,
-        key=lambda node: (hashing.stable_hash(node) - own_position) % 2**64,
+def _positions(node_id: str) -> tuple[int, ...]:
+    return tuple(
+        hashing.stable_hash(node_id, str(ring))
+        for ring in range(NEIGHBOUR_COUNT)
     )
-    return ring[:NEIGHBOUR_COUNT]
--- a/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
@@ -1,4 +1,8 @@
-"""Supervises failure detection. Child: `detector`."""
+"""Supervises the node's part in the membership.
+
+Children: `detector` (neighbours that fail), `own_record` (revision in force)
+and `forgetting` (nodes that are gone for long). Each restarts alone.
+"""
 
 import functools
 
@@ -6,6 +10,8 @@
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.membership import detector
+from sassafras_node.membership import forgetting
+from sassafras_node.membership import own_record
 
 
 async def run(runtime: runtimes.Runtime) -> None:
@@ -16,6 +22,12 @@
         [
             supervision.Child(
                 "detector", functools.partial(detector.run, runtime)
-            )
+            ),
+            supervision.Child(
+                "own_record", functools.partial(own_record.run, runtime)
+            ),
+            supervision.Child(
+                "forgetting", functools.partial(forgetting.run, runtime)
+            ),
         ]
     )
--- a/packages/sassafras-node/src/sassafras_node/peers/handlers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handlers.py
@@ -8,7 +8,6 @@
 from sassafras_base import registry
 from sassafras_policy.configuration import document as documents
 from sassafras_wire.configuration import models as configuration_models
-from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
 
@@ -48,9 +47,13 @@
 ) -> models.Message | None:
     """Merges a peer's changes and answers with this node's own state."""
     assert isinstance(message, models.Heartbeat)
-    runtime.table.merge(
-        converters.model_to_record(change) for change in message.changes
-    )
+    if message.node_id != link.peer.node_id:
+        raise errors.ProtocolError(
+            "peer.heartbeat",
+            link.peer.node_id,
+            f"a heartbeat in the name of {message.node_id}",
+        )
+    runtime.outbox.merge(link, message.changes)
     runtime.silence.heard(message.node_id, runtime.clock.now())
     return models.HeartbeatAck(
         node_id=runtime.table.own_id,
--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -1,6 +1,5 @@
 """The life of the control link to one neighbour: heartbeats and documents."""
 
-from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
 import trio
@@ -16,19 +15,37 @@
         link = await links.open_link(nursery, node_id, runtime.credentials)
         try:
             while True:
-                changed = runtime.changed
                 with trio.fail_after(settings.dead_after_s):
-                    await _beat(runtime, link)
+                    await exchange(runtime, link)
                 runtime.silence.heard(link.peer.node_id, runtime.clock.now())
                 with trio.move_on_after(settings.heartbeat_interval_s):
-                    await changed.wait()
+                    await _wait_for_news(runtime, link)
         finally:
             with trio.CancelScope(shield=True):
                 await link.abort()
             nursery.cancel_scope.cancel()
 
 
-async def _beat(runtime: runtimes.Runtime, link: links.Link) -> None:
+async def exchange(runtime: runtimes.Runtime, link: links.Link) -> None:
+    """Exchanges all pending changes and the newer document, if there is one."""
+    ack = await _beat(runtime, link)
+    while runtime.outbox.has_more(link):
+        ack = await _beat(runtime, link)
+    await _exchange_document(runtime, link, ack)
+
+
+async def _wait_for_news(runtime: runtimes.Runtime, link: links.Link) -> None:
+    """Waits until there is something that the neighbour does not have."""
+    while not runtime.outbox.has_more(link) and (
+        runtime.configuration.revision
+        <= link.documents.get(handlers.CONFIGURATION, 0)
+    ):
+        await runtime.changed.wait()
+
+
+async def _beat(
+    runtime: runtimes.Runtime, link: links.Link
+) -> models.HeartbeatAck:
     await link.send(
         models.Heartbeat(
             node_id=runtime.table.own_id,
@@ -37,15 +54,25 @@
         )
     )
     ack = await link.expect(models.HeartbeatAck)
-    runtime.table.merge(
-        converters.model_to_record(change) for change in ack.changes
-    )
+    runtime.outbox.merge(link, ack.changes)
+    return ack
+
+
+async def _exchange_document(
+    runtime: runtimes.Runtime, link: links.Link, ack: models.HeartbeatAck
+) -> None:
     own_revision = runtime.configuration.revision
-    if ack.config_revision > own_revision:
+    settled = link.documents.get(handlers.CONFIGURATION, 0)
+    # A document that one side refuses crosses a link once, and not with each
+    # heartbeat.
+    link.documents[handlers.CONFIGURATION] = max(
+        settled, own_revision, ack.config_revision
+    )
+    if ack.config_revision > max(own_revision, settled):
         await link.send(models.DocumentFetch(kind=handlers.CONFIGURATION))
         document = await link.expect(models.DocumentMessage)
         handlers.offer_document(runtime, document, link.address)
-    elif ack.config_revision < own_revision:
+    elif own_revision > max(ack.config_revision, settled):
         await link.send(
             models.DocumentMessage(
                 kind=handlers.CONFIGURATION,
--- a/packages/sassafras-node/src/sassafras_node/peers/outbox.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/outbox.py
@@ -1,13 +1,32 @@
 """Which membership changes each control link still has to send."""
 
+import dataclasses
 import weakref
 
+from sassafras_policy.membership import records
 from sassafras_policy.membership import table as tables
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
 
-_MAXIMUM_CHANGES = 200
+# A record takes some 200 bytes, so a message stays below 40 KB however large
+# the fleet is; a new link sends the rest in the messages that follow.
+MAXIMUM_CHANGES = 200
+
+
+@dataclasses.dataclass(slots=True)
+class _LinkState:
+    """What one link has passed on.
+
+    Attributes:
+      sequence: The table's changes up to this number were sent.
+      received: Records that came in on the link; not to be sent back.
+    """
+
+    sequence: int = 0
+    received: dict[str, tuple[int, int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Outbox:
@@ -15,19 +34,49 @@
 
     def __init__(self, table: tables.Table) -> None:
         self._table = table
-        self._sent: weakref.WeakKeyDictionary[
-            links.Link, dict[str, tuple[int, int, int]]
-        ] = weakref.WeakKeyDictionary()
+        self._states: weakref.WeakKeyDictionary[links.Link, _LinkState] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def merge(
+        self, link: links.Link, changes: list[models.NodeRecordModel]
+    ) -> None:
+        """Takes over the changes that arrived on a link."""
+        incoming: list[records.NodeRecord] = [
+            converters.model_to_record(change) for change in changes
+        ]
+        state = self._state(link)
+        for record in incoming:
+            state.received[record.node_id] = record.precedence
+        self._table.merge(incoming)
 
     def take(self, link: links.Link) -> list[models.NodeRecordModel]:
         """Returns the records that changed since the last message."""
-        sent = self._sent.setdefault(link, {})
-        changes: list[models.NodeRecordModel] = []
-        for record in self._table.all:
-            if sent.get(record.node_id) == record.precedence:
-                continue
-            sent[record.node_id] = record.precedence
-            changes.append(converters.record_to_model(record))
-            if len(changes) == _MAXIMUM_CHANGES:
-                break
-        return changes
+        state = self._state(link)
+        changes, state.sequence = self._table.changes_since(
+            state.sequence, MAXIMUM_CHANGES
+        )
+        outgoing = [
+            converters.record_to_model(record)
+            for record in changes
+            if state.received.get(record.node_id) != record.precedence
+        ]
+        if state.sequence == self._table.sequence:
+            state.received.clear()
+        return outgoing
+
+    def has_more(self, link: links.Link) -> bool:
+        """Returns whether changes are left for a further message."""
+        state = self._state(link)
+        while state.sequence < self._table.sequence:
+            changes, reached = self._table.changes_since(
+                state.sequence, MAXIMUM_CHANGES
+            )
+            for record in changes:
+                if state.received.get(record.node_id) != record.precedence:
+                    return True
+            state.sequence = reached
+        return False
+
+    def _state(self, link: links.Link) -> _LinkState:
+        return self._states.setdefault(link, _LinkState())
--- a/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
@@ -1,9 +1,10 @@
 """Supervises the links to other nodes.
 
 Children: `sessions` and `accept` (connections from peers), `readers` (call
-connections to peers), `ring` (chooses the neighbours) and one `link:<node>`
-for each neighbour. A link that fails restarts alone with a back-off and never
-gives up, as an unreachable neighbour is no fault of this node.
+connections to peers), `rejoin` (tries nodes that are taken for dead), `ring`
+(chooses the neighbours) and one `link:<node>` for each neighbour. A link that
+fails restarts alone with a back-off and never gives up, as an unreachable
+neighbour is no fault of this node.
 """
 
 import functools
@@ -14,8 +15,8 @@
 
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
-from sassafras_node.membership import neighbours
 from sassafras_node.peers import link
+from sassafras_node.peers import rejoin
 from sassafras_node.peers import session
 
 _LINK_POLICY = supervision.RestartPolicy(
@@ -36,6 +37,7 @@
             supervision.Child("sessions", listener.run_sessions),
             supervision.Child("accept", listener.accept),
             supervision.Child("readers", runtime.peer_pools.run_readers),
+            supervision.Child("rejoin", functools.partial(rejoin.run, runtime)),
             supervision.Child(
                 "links",
                 functools.partial(_run_links, runtime, neighbour_links),
@@ -70,7 +72,7 @@
         changed = runtime.changed
         wanted = {
             _LINK_PREFIX + node_id: node_id
-            for node_id in neighbours.choose(runtime)
+            for node_id in runtime.neighbours.choose(runtime.clock.now())
         }
         for name in links.children:
             if name.startswith(_LINK_PREFIX) and name not in wanted:
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -22,6 +22,7 @@
 import trio
 
 from sassafras_node.calls import contexts
+from sassafras_node.membership import neighbours
 from sassafras_node.membership import silence
 from sassafras_node.peers import outbox
 from sassafras_node.peers import pool as peer_pool
@@ -79,11 +80,13 @@
       target: The target beside the node; fed by the target's session.
       peer_views: Targets of other nodes as seen from here.
       peer_pools: Call connections to peers.
+      neighbours: Chooses the neighbours that get heartbeats.
       silence: When neighbours were last heard.
       outbox: Membership changes still to be sent.
       supervisors: Running supervisors by path.
       changed: Set and replaced when membership or configuration changes.
       watch_wanted: Set while this node is its availability zone's watcher.
+      watch_unwanted: Set while it is not.
       http_limits: Bounds on requests.
     """
 
@@ -132,14 +135,30 @@
         self.peer_pools = peer_pool.PeerPools(
             self.credentials, settings.peers.connections_per_peer
         )
+        self.neighbours = neighbours.Neighbours(
+            self.table, settings.peers.seeds
+        )
         self.silence = silence.SilenceTracker()
         self.outbox = outbox.Outbox(self.table)
         self.supervisors: dict[str, supervision.Supervisor] = {}
         self.changed = trio.Event()
         self.watch_wanted = trio.Event()
+        self.watch_unwanted = trio.Event()
+        self.watch_unwanted.set()
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
 
+    def start_watching(self) -> None:
+        """Makes this node its availability zone's watcher."""
+        self.watch_unwanted = trio.Event()
+        self.watch_wanted.set()
+
+    def stop_watching(self) -> None:
+        """Ends the watcher's work, if there is any."""
+        if self.watch_wanted.is_set():
+            self.watch_wanted = trio.Event()
+        self.watch_unwanted.set()
+
     def _on_member(self, record: records.NodeRecord) -> None:
         del record
         self._configure_limiter()
--- a/packages/sassafras-node/src/sassafras_node/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/store/members.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pydantic
+from sassafras_base import events
 from sassafras_policy.membership import records
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
@@ -12,41 +14,77 @@
 from sassafras_node.store import keys
 
 _WRITE_INTERVAL_S = 2.0
+# The seeds of the settings come first; most nodes that start then have no
+# need to read the lists.
+_SEED_PATIENCE_S = 2.0
+_LONGEST_READ_INTERVAL_S = 30.0
+
+_STORE_ERRORS = (
+    store_client.StoreUnavailableError,
+    store_client.StoreRefusedError,
+)
+_RecordList = pydantic.TypeAdapter(list[models.NodeRecordModel])
+
+
+@events.declare(506, "WARNING")
+def member_list_refused(key: str, faults: int) -> str:
+    """A list of nodes in the store is not valid and is ignored.
+
+    The availability zone's watcher writes a valid one on the next change.
+    """
+    return f"list {key} has {faults} faults and is ignored"
 
 
 async def run(runtime: runtimes.Runtime) -> None:
-    """Reads the lists once, then writes this zone's while being watcher."""
+    """Reads the lists if no peer is known; writes this zone's as watcher."""
+    await trio.sleep(_SEED_PATIENCE_S)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_read_until_peers_are_known, runtime)
+        await _write_changes(runtime)
+
+
+async def _read_until_peers_are_known(runtime: runtimes.Runtime) -> None:
+    interval_s = _WRITE_INTERVAL_S
     while not runtime.table.peers:
         try:
             await _read_all(runtime)
-            break
-        except (
-            store_client.StoreUnavailableError,
-            store_client.StoreRefusedError,
-        ):
-            await trio.sleep(_WRITE_INTERVAL_S)
-    written: list[str] | None = None
+        except _STORE_ERRORS:
+            pass
+        await trio.sleep(interval_s)
+        interval_s = min(2 * interval_s, _LONGEST_READ_INTERVAL_S)
+
+
+async def _write_changes(runtime: runtimes.Runtime) -> None:
     while True:
-        await trio.sleep(_WRITE_INTERVAL_S)
-        members = _members(runtime)
-        if not runtime.watch_wanted.is_set() or members == written:
-            continue
-        try:
-            if await _write(runtime):
-                written = members
-        except (
-            store_client.StoreUnavailableError,
-            store_client.StoreRefusedError,
-        ):
-            continue
+        await runtime.watch_wanted.wait()
+        written: list[str] = []
+        mod_revision = -1
+        while runtime.watch_wanted.is_set():
+            changed = runtime.changed
+            members = _members(runtime)
+            ids = [record.node_id for record in members]
+            if ids != written:
+                try:
+                    mod_revision = await _write(runtime, members, mod_revision)
+                except _STORE_ERRORS:
+                    mod_revision = -1
+                else:
+                    written = ids if mod_revision >= 0 else written
+            await trio.sleep(_WRITE_INTERVAL_S)
+            if ids == written:
+                with trio.move_on_after(_LONGEST_READ_INTERVAL_S):
+                    await changed.wait()
 
 
-def _members(runtime: runtimes.Runtime) -> list[str]:
+def _members(runtime: runtimes.Runtime) -> list[records.NodeRecord]:
     zone = runtime.settings.host.availability_zone
     return sorted(
-        record.node_id
-        for record in [*runtime.table.peers, runtime.table.own]
-        if record.availability_zone == zone
+        (
+            record
+            for record in [*runtime.table.peers, runtime.table.own]
+            if record.availability_zone == zone
+        ),
+        key=lambda record: record.node_id,
     )
 
 
@@ -54,23 +92,27 @@
     for found in await runtime.store.get_prefix(keys.ZONES):
         if not found.key.endswith(b"/members"):
             continue
-        for item in json.loads(found.value):
-            model = models.NodeRecordModel.model_validate(item)
-            runtime.table.merge([converters.model_to_record(model)])
+        try:
+            listed = _RecordList.validate_json(found.value)
+        except pydantic.ValidationError as error:
+            member_list_refused(found.key.decode(), error.error_count())
+            continue
+        runtime.table.merge(map(converters.model_to_record, listed))
 
 
-async def _write(runtime: runtimes.Runtime) -> bool:
-    zone = runtime.settings.host.availability_zone
-    key = keys.zone_members(zone)
+async def _write(
+    runtime: runtimes.Runtime,
+    members: list[records.NodeRecord],
+    mod_revision: int,
+) -> int:
+    """Writes the list; returns its revision, or -1 if another was first."""
+    key = keys.zone_members(runtime.settings.host.availability_zone)
+    if mod_revision < 0:
+        found = await runtime.store.get(key)
+        mod_revision = found.mod_revision if found else 0
     content = [
-        converters.record_to_model(record).model_dump()
-        for record in [*runtime.table.peers, runtime.table.own]
-        if record.availability_zone == zone
-        and record.status <= records.Status.SUSPECT
+        converters.record_to_model(record).model_dump() for record in members
     ]
-    found = await runtime.store.get(key)
-    return await runtime.store.put_if(
-        key,
-        json.dumps(content).encode(),
-        found.mod_revision if found else 0,
+    return await runtime.store.swap(
+        key, json.dumps(content).encode(), mod_revision
     )
--- a/packages/sassafras-node/src/sassafras_node/store/watch.py
+++ b/packages/sassafras-node/src/sassafras_node/store/watch.py
@@ -10,6 +10,8 @@
 from sassafras_node.store import keys
 
 _RETRY_INTERVAL_S = 1.0
+# A watch whose connection died unnoticed is opened anew after this time.
+_REFRESH_S = 60.0
 
 
 @events.declare(503, "WARNING")
@@ -22,14 +24,26 @@
     """Reads and watches the configuration whenever this node should."""
     while True:
         await runtime.watch_wanted.wait()
-        try:
-            await _watch(runtime)
-        except (
-            store_client.StoreUnavailableError,
-            store_client.StoreRefusedError,
-        ) as error:
-            watch_broke(str(error))
-        await trio.sleep(_RETRY_INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_unwanted, runtime, nursery)
+            try:
+                with trio.move_on_after(_REFRESH_S) as refresh:
+                    await _watch(runtime)
+            except (
+                store_client.StoreUnavailableError,
+                store_client.StoreRefusedError,
+            ) as error:
+                watch_broke(str(error))
+            if not refresh.cancelled_caught:
+                await trio.sleep(_RETRY_INTERVAL_S)
+            nursery.cancel_scope.cancel()
+
+
+async def _cancel_when_unwanted(
+    runtime: runtimes.Runtime, nursery: trio.Nursery
+) -> None:
+    await runtime.watch_unwanted.wait()
+    nursery.cancel_scope.cancel()
 
 
 async def _watch(runtime: runtimes.Runtime) -> None:
@@ -45,7 +59,7 @@
             for event in result.events:
                 if event.type == "PUT":
                     _offer(runtime, event.kv.value)
-            if result.canceled or not runtime.watch_wanted.is_set():
+            if result.canceled:
                 return
 
 
--- a/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
+++ b/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
@@ -1,13 +1,28 @@
-"""Election of the watcher of an availability zone, by a lease."""
+"""Election of the watcher of an availability zone, by a lease.
+
+Of the nodes of the zone that are alive, the first few by hash campaign; the
+others do not call the store, so its load does not grow with the fleet. One
+candidate holds the lease and renews it; the others wait on a watch of its key.
+"""
 
 from sassafras_base import events
+from sassafras_base import hashing
 from sassafras_wire.store import client as store_client
 import trio
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.store import keys
 
-_RENEWALS_PER_LEASE = 3
+CANDIDATES = 3
+
+_RENEWALS_PER_LEASE = 2.5
+# A new node hears from its peers within this time; before, it would take
+# itself for the only node of its zone.
+_START_DELAY_S = 1.0
+# Keeps candidates that lose a race from trying again at once.
+_PAUSE_S = 0.2
+# A watch whose connection died unnoticed is opened anew after this time.
+_STANDBY_REFRESH_S = 60.0
 
 
 @events.declare(501, "INFO")
@@ -25,31 +40,135 @@
     return f"store unavailable: {error}"
 
 
+@events.declare(504, "INFO")
+def watcher_ended(availability_zone: str, reason: str) -> str:
+    """This node no longer watches the store for its availability zone.
+
+    Another node of the zone takes over when the lease has lapsed, at the
+    latest. Two watchers at a time are harmless.
+    """
+    return f"no longer watching for zone {availability_zone}: {reason}"
+
+
+@events.declare(505, "INFO")
+def store_available() -> str:
+    """The platform's key-value service answers again."""
+    return "store available again"
+
+
 async def run(runtime: runtimes.Runtime) -> None:
-    """Campaigns for the lease, and renews it while it is held."""
+    """Campaigns for the lease while a candidate, and renews it while held."""
+    runtime.stop_watching()
+    retry_s = runtime.settings.store.lease_s / 2
+    was_available = True
+    await trio.sleep(_START_DELAY_S)
     while True:
+        if not is_candidate(runtime):
+            await runtime.changed.wait()
+            continue
         try:
             await _campaign(runtime)
+            if not was_available:
+                store_available()
+            was_available = True
+            await trio.sleep(_PAUSE_S)
         except (
             store_client.StoreUnavailableError,
             store_client.StoreRefusedError,
         ) as error:
-            store_unavailable(str(error))
-        runtime.watch_wanted = trio.Event()
-        await trio.sleep(runtime.settings.store.lease_s / 2)
+            # One line for each outage, not one for each try.
+            if was_available:
+                store_unavailable(str(error))
+            was_available = False
+            await trio.sleep(retry_s)
+        finally:
+            runtime.stop_watching()
+
+
+def is_candidate(runtime: runtimes.Runtime) -> bool:
+    """Returns whether this node is among those that campaign."""
+    zone = runtime.settings.host.availability_zone
+    alive = [
+        record.node_id
+        for record in runtime.table.peers
+        if record.availability_zone == zone
+    ]
+    own_id = runtime.table.own_id
+    return own_id in hashing.rendezvous(zone, [own_id, *alive], CANDIDATES)
 
 
 async def _campaign(runtime: runtimes.Runtime) -> None:
-    settings = runtime.settings.store
-    key = keys.zone_watcher(runtime.settings.host.availability_zone)
-    if await runtime.store.get(key) is not None:
-        return
-    lease = await runtime.store.grant_lease(settings.lease_s)
+    """Takes the lease and holds it, or waits until its holder is gone."""
+    zone = runtime.settings.host.availability_zone
+    key = keys.zone_watcher(zone)
     own_id = runtime.table.own_id
-    if not await runtime.store.put_if(key, own_id.encode(), 0, lease):
-        await runtime.store.revoke_lease(lease)
+    found = await runtime.store.get(key)
+    if found is None:
+        lease = await runtime.store.grant_lease(runtime.settings.store.lease_s)
+        if not await runtime.store.put_if(key, own_id.encode(), 0, lease):
+            await runtime.store.revoke_lease(lease)
+            return
+    elif found.value == own_id.encode():
+        # Taken before this task or the process was restarted, or by a write
+        # whose answer was lost.
+        lease = found.lease
+    else:
+        await _wait_for_deletion(runtime, key, found.mod_revision + 1)
+        return
+    await _hold(runtime, zone, lease)
+
+
+async def _wait_for_deletion(
+    runtime: runtimes.Runtime, key: str, start_revision: int
+) -> None:
+    failure: store_client.StoreUnavailableError | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_unless_candidate, runtime, nursery)
+        try:
+            with trio.move_on_after(_STANDBY_REFRESH_S):
+                async with runtime.store.watch(key, start_revision) as results:
+                    async for changes in results:
+                        if changes.canceled or changes.events:
+                            break
+        except store_client.StoreUnavailableError as error:
+            failure = error
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
+async def _cancel_unless_candidate(
+    runtime: runtimes.Runtime, nursery: trio.Nursery
+) -> None:
+    while is_candidate(runtime):
+        await runtime.changed.wait()
+    nursery.cancel_scope.cancel()
+
+
+async def _hold(runtime: runtimes.Runtime, zone: str, lease: int) -> None:
+    settings = runtime.settings.store
+    interval_s = settings.lease_s / _RENEWALS_PER_LEASE
+    if not await runtime.store.keep_lease(lease):
         return
-    became_watcher(runtime.settings.host.availability_zone)
-    runtime.watch_wanted.set()
-    while await runtime.store.keep_lease(lease):
-        await trio.sleep(settings.lease_s / _RENEWALS_PER_LEASE)
+    became_watcher(zone)
+    runtime.start_watching()
+    reason = "stopped"
+    try:
+        while True:
+            renewed_at = runtime.clock.now_with_suspend()
+            await trio.sleep(interval_s)
+            paused_s = runtime.clock.now_with_suspend() - renewed_at
+            if paused_s > settings.lease_s:
+                # Another node may hold the lease by now. Its renewal would
+                # tell the same, but only when the store answers.
+                reason = f"paused for {paused_s:.0f} s"
+                return
+            if not await runtime.store.keep_lease(lease):
+                reason = "the lease has lapsed"
+                return
+    except store_client.StoreUnavailableError:
+        reason = "the store does not answer"
+        raise
+    finally:
+        watcher_ended(zone, reason)
+        runtime.stop_watching()
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -12,6 +12,7 @@
 from sassafras_policy.membership import records
 import trio
 
+from sassafras_node import listening
 from sassafras_node import runtime as runtimes
 from sassafras_node.callers import supervisor as callers
 from sassafras_node.membership import supervisor as membership
@@ -78,7 +79,7 @@
             )
             task_status.started()
             await runtime.drain.requested.wait()
-            await _drain(runtime)
+            await _drain(runtime, caller_listener)
             nursery.cancel_scope.cancel()
     finally:
         with trio.CancelScope(shield=True):
@@ -86,12 +87,19 @@
                 await listener.close()
 
 
-async def _drain(runtime: runtimes.Runtime) -> None:
+async def _drain(
+    runtime: runtimes.Runtime, callers_at: listening.Listener
+) -> None:
     node_draining(runtime.drain.in_flight)
     announcements.publish(runtime)
+    # Callers on open connections are told to go elsewhere meanwhile.
     await trio.sleep(_LEAVE_NOTICE_S)
+    # New callers find the port closed, so they know that nothing was sent.
+    await callers_at.close()
     with trio.move_on_after(_DRAIN_TIMEOUT_S):
         await runtime.drain.idle.wait()
     runtime.table.update_own(status=records.Status.LEFT)
     await trio.sleep(_LEAVE_NOTICE_S / 2)
+    with trio.move_on_after(_DRAIN_TIMEOUT_S):
+        await runtime.drain.idle.wait()
     node_stopped(runtime.drain.in_flight)
--- a/packages/sassafras-node/src/sassafras_node/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/announcements.py
@@ -68,8 +68,9 @@
         return
     index = runtime.configuration.index
     stopped = index.document.stopped_targets if index else ()
+    runtime.target.is_stopped = announcement.address in stopped
     state = announcement.state
-    if runtime.drain.is_draining or announcement.address in stopped:
+    if runtime.drain.is_draining or runtime.target.is_stopped:
         state = records.TargetState.LEAVING
     changes = {
         "service": announcement.service,
--- a/packages/sassafras-node/src/sassafras_node/targets/beside.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/beside.py
@@ -16,6 +16,7 @@
     Attributes:
       admission: Decides which calls the target gets.
       pool: Connections to the target.
+      is_stopped: Whether operators have stopped the target.
     """
 
     def __init__(
@@ -26,6 +27,7 @@
         self._announcement: records.Announcement | None = None
         self._heard_at = 0.0
         self._class_count = 1
+        self.is_stopped = False
         self.admission = self._new_admission(1)
         self.pool = self._new_pool("127.0.0.1:1", 1)
 
@@ -39,6 +41,7 @@
         """Whether the target takes new calls."""
         return (
             self._announcement is not None
+            and not self.is_stopped
             and self._announcement.state is records.TargetState.SERVING
         )
 
--- a/packages/sassafras-node/src/sassafras_node/targets/expiry.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/expiry.py
@@ -1,6 +1,7 @@
 """Forgets a target that has stopped announcing itself."""
 
 from sassafras_base import events
+from sassafras_policy.membership import records
 import trio
 
 from sassafras_node import runtime as runtimes
@@ -22,14 +23,18 @@
 async def run(runtime: runtimes.Runtime) -> None:
     """Checks the age of the last announcement until cancelled."""
     while True:
-        await trio.sleep(_CHECK_INTERVAL_S)
+        revision = runtime.configuration.revision
+        with trio.move_on_after(_CHECK_INTERVAL_S):
+            while runtime.configuration.revision == revision:
+                await runtime.changed.wait()
         target = runtime.target
         announcement = target.announcement
         if (
             announcement is not None
             and target.silent_s > ANNOUNCEMENT_LIFETIME_S
         ):
-            target_silent(announcement.address, target.silent_s)
+            if announcement.state is records.TargetState.SERVING:
+                target_silent(announcement.address, target.silent_s)
             await target.withdraw()
         # Also picks up targets that operators stop and start.
         announcements.publish(runtime)
--- a/packages/sassafras-standins/src/sassafras_standins/store/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/store/server.py
@@ -16,6 +16,7 @@
 from sassafras_standins.store import faults as fault_modes
 
 _WATCH = "/v3/watch"
+_EXPIRY_INTERVAL_S = 0.1
 
 
 class StoreServer:
@@ -34,8 +35,16 @@
         """Serves at an address until cancelled."""
         host, port = http_client.split_address(address)
         listeners = await trio.open_tcp_listeners(port, host=host)
-        task_status.started()
-        await trio.serve_listeners(self.serve, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire_forever)
+            task_status.started()
+            await trio.serve_listeners(self.serve, listeners)
+
+    async def _expire_forever(self) -> None:
+        """Ends leases on time, also while nobody calls."""
+        while True:
+            await trio.sleep(_EXPIRY_INTERVAL_S)
+            self.data.expire()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serves the requests of one connection, one after another."""
@@ -115,6 +124,7 @@
                 int(compare["mod_revision"]),
                 int(put.get("lease", 0)),
             )
+            header = {"revision": str(self.data.revision)}
             return {"header": header, "succeeded": succeeded}
         if path == "/v3/lease/grant":
             lease = self.data.grant(float(body["TTL"]))
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -55,17 +55,26 @@
         self._read_ahead = bytearray()
         self._at_end = False
 
+    async def await_request(self) -> bool:
+        """Waits for the first byte of the next request.
+
+        Returns:
+          Whether there is one; False when the other side is done or idle for
+          too long.
+        """
+        if self._connection.states[h11.SERVER] is h11.DONE:
+            self._connection.start_next_cycle()
+        elif self._connection.states[h11.SERVER] is not h11.IDLE:
+            return False
+        return await self._await_first_byte()
+
     async def receive(self) -> messages.Request | None:
         """Returns the next request, or None when the other side is done.
 
         Raises:
           RequestRefusedError: The request breaks HTTP/1.1 or a limit.
         """
-        if self._connection.states[h11.SERVER] is h11.DONE:
-            self._connection.start_next_cycle()
-        elif self._connection.states[h11.SERVER] is not h11.IDLE:
-            return None
-        if not await self._await_first_byte():
+        if not await self.await_request():
             return None
         with trio.move_on_after(self._limits.request_timeout_s):
             return await self._receive_whole()
@@ -76,8 +85,15 @@
             f" {self._limits.request_timeout_s:.0f} s",
         )
 
-    async def send(self, answer: messages.Answer) -> None:
-        """Writes a whole answer in one write."""
+    async def send(
+        self, answer: messages.Answer, *, close: bool = False
+    ) -> None:
+        """Writes a whole answer in one write.
+
+        Args:
+          answer: The answer.
+          close: Tells the other side to send no more on this connection.
+        """
         headers = [
             (name, value)
             for name, value in answer.headers
@@ -91,9 +107,7 @@
             seconds = max(1, math.ceil(answer.retry_after_ms / 1000))
             headers.append((fields.RETRY_AFTER, str(seconds)))
         headers.append(("content-length", str(len(answer.body))))
-        if self._connection.their_state is h11.MUST_CLOSE or (
-            self._connection.their_state not in (h11.DONE, h11.MUST_CLOSE)
-        ):
+        if close or self._connection.their_state is not h11.DONE:
             headers.append(("connection", "close"))
         head = h11.Response(
             status_code=answer.status,
--- a/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
@@ -56,10 +56,13 @@
 def model_to_record(model: models.NodeRecordModel) -> records.NodeRecord:
     """Returns the membership record of a model.
 
-    Raises:
-      ValueError: The target state is not known.
+    A target state that only a newer version knows counts as absent, so that
+    the target gets no calls from here.
     """
     content = model.model_dump()
     content["status"] = records.Status(model.status)
-    content["target_state"] = records.TargetState(model.target_state)
+    try:
+        content["target_state"] = records.TargetState(model.target_state)
+    except ValueError:
+        content["target_state"] = records.TargetState.ABSENT
     return records.NodeRecord(**content)
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -38,6 +38,7 @@
       address: Address of the other side.
       bytes_sent: Bytes of all frames sent.
       bytes_received: Bytes of all frames received.
+      documents: Newest revision of each kind of document sent or fetched.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         self.peer = authentication.Identity("", 0, "")
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.documents: dict[str, int] = {}
         self._connection = connection
         self._call_ids = itertools.count(1)
 
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -78,6 +78,8 @@
       heartbeat_interval_s: Seconds between heartbeats to a neighbour.
       suspect_after_s: Silence after which a neighbour is suspect.
       dead_after_s: Silence after which it is dead.
+      forget_after_s: Time for which dead and departed nodes are remembered,
+        twice over; longer than the longest cut between regions.
       connections_per_peer: Call connections kept open to one peer.
     """
 
@@ -86,6 +88,7 @@
     heartbeat_interval_s: float = pydantic.Field(default=1.0, gt=0)
     suspect_after_s: float = pydantic.Field(default=1.5, gt=0)
     dead_after_s: float = pydantic.Field(default=3.0, gt=0)
+    forget_after_s: float = pydantic.Field(default=7200.0, gt=0)
     connections_per_peer: int = pydantic.Field(default=32, gt=0)
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/store/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/client.py
@@ -92,6 +92,20 @@
         Returns:
           Whether the write took place.
 
+        Raises:
+          StoreUnavailableError: No answer came; the write may have happened.
+        """
+        return await self.swap(key, value, mod_revision, lease) >= 0
+
+    async def swap(
+        self, key: str, value: bytes, mod_revision: int, lease: int = 0
+    ) -> int:
+        """Writes as `put_if` does and returns the key's new revision.
+
+        Returns:
+          The revision, for a further write without a read, or -1 when the
+          write did not take place.
+
         Raises:
           StoreUnavailableError: No answer came; the write may have happened.
         """
@@ -116,7 +130,7 @@
             },
             models.TxnAnswer,
         )
-        return answer.succeeded
+        return answer.header.revision if answer.succeeded else -1
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Returns the id of a new lease."""
