--- a/packages/sassafras-standins/src/sassafras_standins/load/caller.py
+++ b/packages/sassafras-standins/src/sassafras_standins/load/caller.py
@@ -16,7 +16,8 @@
 
     Attributes:
       status: HTTP status; 0 when the connection was lost.
-      outcome: Value of `Sassafras-Outcome`; empty when there was none.
+      outcome: Value of `Sassafras-Outcome`; empty when there was none. A node
+        that could not be reached counts as `not-run`.
       body: The answer's body.
     """
 
@@ -64,6 +65,8 @@
             response = await target.exchange(
                 messages.Request(method, path, tuple(fields), body)
             )
+        except errors.UnreachableError as error:
+            return Result(0, "not-run; reason=unreachable", str(error).encode())
         except errors.SassafrasError as error:
             return Result(0, "", str(error).encode())
         outcome = dict(response.headers).get("sassafras-outcome", "")
