Serve the administration API from every node

Cause: Operators could change the configuration only by writing to the store, and a target that they had stopped still got work from the node beside it.

Change: sassafras_node/admin serves health, configuration (get, plan, apply, history, roll forward), keys, targets, nodes, status and audit on the node's administration address, from a registry of routes keyed by method and path. Operators have credentials and roles of their own. Nodes are asked for their revision and calls in flight by a peer message on request, so that a change of revision adds nothing to the membership traffic. The node beside a target refuses new work as soon as a revision that stops the target is in force.

Conclusion: Each change ends as written, unchanged, refused, conflict, not stored or unknown, and the audit record says which.

--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API, by which operators use any node."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/__init__.py
@@ -0,0 +1,1 @@
+"""The routes of the administration API, registered by decorators."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/audit.py
@@ -0,0 +1,30 @@
+"""The audit records."""
+
+import result
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
+from sassafras_wire.store import client as store_client
+
+from sassafras_node.admin import replies
+from sassafras_node.admin import routing
+from sassafras_node.store import audit
+
+
+@routing.route("GET", "/audit", operators.Role.READ, models.AuditQuery)
+async def list_records(call: routing.Call) -> replies.Reply:
+    """Answers with the newest records, the newest first."""
+    assert isinstance(call.input, models.AuditQuery)
+    try:
+        records = await audit.newest(call.runtime, call.input.limit)
+    except (
+        store_client.StoreUnavailableError,
+        store_client.StoreRefusedError,
+    ) as error:
+        return replies.refuse(
+            replies.NOT_STORED,
+            call.step,
+            "store",
+            f"the store did not answer: {error}",
+            "try again when it does",
+        )
+    return result.Ok(models.Audit(records=tuple(records)))
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/nodes.py
@@ -0,0 +1,179 @@
+"""Nodes: list, forget."""
+
+import result
+from sassafras_policy.membership import records
+from sassafras_wire.administration import models
+from sassafras_wire.peer import models as peer_models
+from sassafras_wire.settings import operators
+from sassafras_wire.store import client as store_client
+import trio
+
+from sassafras_node.admin import changes
+from sassafras_node.admin import peer_status
+from sassafras_node.admin import replies
+from sassafras_node.admin import routing
+from sassafras_node.membership import roster
+from sassafras_node.store import audit
+
+_ACTION = "nodes-forget"
+
+
+@routing.route("GET", "/nodes", operators.Role.READ)
+async def list_nodes(call: routing.Call) -> replies.Reply:
+    """Answers with the known nodes; each is asked for its revision."""
+    runtime = call.runtime
+    known = sorted(runtime.table.all, key=lambda record: record.node_id)
+    asked = await peer_status.ask_all(
+        runtime,
+        [r.node_id for r in known if r.status <= records.Status.SUSPECT],
+    )
+    members = set(runtime.roster.current.node_ids)
+    nodes = [
+        _describe(record, asked.get(record.node_id), members)
+        for record in known
+    ]
+    # A node that was lost before this one started is known from the roster.
+    nodes.extend(
+        models.Node(
+            node_id=member.node_id,
+            availability_zone="",
+            status="unknown",
+            incarnation=0,
+            service=member.service,
+            in_roster=True,
+        )
+        for member in runtime.roster.current.members
+        if runtime.table.get(member.node_id) is None
+    )
+    return result.Ok(
+        models.Nodes(
+            revision=runtime.configuration.revision,
+            roster_epoch=runtime.roster.current.epoch,
+            nodes=tuple(nodes),
+        )
+    )
+
+
+@routing.route(
+    "POST", "/nodes/forget", operators.Role.CHANGE, models.ForgetRequest
+)
+async def forget(call: routing.Call) -> replies.Reply:
+    """Removes a lost node from the roster.
+
+    The operator thereby asserts that its host is gone for good.
+    """
+    reply: replies.Reply | None = None
+    with trio.CancelScope(shield=True):
+        reply = await _forget(call)
+    assert reply is not None
+    return reply
+
+
+async def _forget(call: routing.Call) -> replies.Reply:
+    assert isinstance(call.input, models.ForgetRequest)
+    runtime = call.runtime
+    node_id = call.input.node_id
+    try:
+        record = await audit.begin(
+            runtime, call.operator, _ACTION, node_id, call.input.note, 0
+        )
+    except (
+        store_client.StoreUnavailableError,
+        store_client.StoreRefusedError,
+    ) as error:
+        return result.Err(replies.not_stored(call.step, str(error)))
+    reply = await _attempt(call, node_id)
+    outcome = models.WriteOutcome.REFUSED
+    epoch = 0
+    if isinstance(reply, result.Ok):
+        outcome, epoch = reply.ok_value.outcome, reply.ok_value.revision
+    elif reply.err_value.problem.outcome is not None:
+        outcome = reply.err_value.problem.outcome
+    await audit.finish(runtime, record, outcome, epoch)
+    changes.operator_change(
+        call.operator, _ACTION, node_id, str(outcome), epoch
+    )
+    return reply
+
+
+async def _attempt(
+    call: routing.Call, node_id: str
+) -> result.Result[models.Change, replies.Refusal]:
+    runtime = call.runtime
+    before = runtime.roster.current.epoch
+    try:
+        forgotten = await roster.forget(runtime, node_id)
+    except store_client.StoreUnreachableError as error:
+        return result.Err(replies.not_stored(call.step, str(error)))
+    except store_client.StoreUnavailableError as error:
+        return result.Err(_unknown(call.step, str(error)))
+    except store_client.StoreRefusedError as error:
+        return result.Err(replies.not_stored(call.step, str(error)))
+    epoch = runtime.roster.current.epoch
+    match forgotten:
+        case roster.Forgotten.DONE:
+            outcome = models.WriteOutcome.WRITTEN
+            if epoch == before:
+                outcome = models.WriteOutcome.UNCHANGED
+            return result.Ok(models.Change(outcome=outcome, revision=epoch))
+        case roster.Forgotten.NOT_A_MEMBER:
+            return replies.refuse(
+                replies.NOT_FOUND,
+                call.step,
+                "store",
+                f"the roster has no node {node_id}",
+                "list the nodes; only those in the roster can be forgotten",
+            )
+        case roster.Forgotten.IS_ALIVE:
+            return replies.refuse(
+                replies.BAD_REQUEST,
+                call.step,
+                node_id,
+                f"node {node_id} is alive",
+                "stop it first; a node that runs on would keep its old share",
+            )
+        case roster.Forgotten.CONFLICT:
+            return result.Err(
+                replies.Refusal(
+                    replies.CONFLICT,
+                    models.Problem(
+                        step=call.step,
+                        peer="store",
+                        problem="the roster kept changing; nothing was changed",
+                        advice="try again",
+                        outcome=models.WriteOutcome.CONFLICT,
+                        revision=epoch,
+                    ),
+                )
+            )
+
+
+def _unknown(step: str, problem: str) -> replies.Refusal:
+    return replies.Refusal(
+        replies.UNKNOWN,
+        models.Problem(
+            step=step,
+            peer="store",
+            problem=f"outcome unknown: {problem}",
+            advice="repeat the request; that is harmless",
+            outcome=models.WriteOutcome.UNKNOWN,
+        ),
+    )
+
+
+def _describe(
+    record: records.NodeRecord,
+    status: peer_models.StatusMessage | None,
+    members: set[str],
+) -> models.Node:
+    return models.Node(
+        node_id=record.node_id,
+        availability_zone=record.availability_zone,
+        status=record.status.name.lower(),
+        incarnation=record.incarnation,
+        service=record.service,
+        target_state=str(record.target_state),
+        revision=status.config_revision if status else None,
+        roster_epoch=status.roster_epoch if status else None,
+        in_roster=record.node_id in members,
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -0,0 +1,55 @@
+"""The state of the node that answers."""
+
+import result
+from sassafras_policy.calls import outcomes
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.admin import replies
+from sassafras_node.admin import routing
+from sassafras_node.admin.routes import targets
+
+
+@routing.route("GET", "/status", operators.Role.READ)
+async def get_status(call: routing.Call) -> replies.Reply:
+    """Answers with what this node does and what it has refused."""
+    runtime = call.runtime
+    own = runtime.table.own
+    index = runtime.configuration.index
+    organisations = index.document.organisations if index else ()
+    return result.Ok(
+        models.Status(
+            node_id=own.node_id,
+            availability_zone=own.availability_zone,
+            incarnation=own.incarnation,
+            revision=runtime.configuration.revision,
+            roster_epoch=runtime.roster.current.epoch,
+            draining=runtime.drain.is_draining,
+            calls_in_flight=runtime.drain.in_flight,
+            target=targets.describe(runtime, own)
+            if own.target_address
+            else None,
+            target_calls_in_flight=runtime.contexts.count,
+            target_load=runtime.target.admission.load,
+            store_calls=runtime.store.calls,
+            limits=tuple(
+                models.Limit(
+                    organisation=organisation.name,
+                    rate_per_s=organisation.rate_per_s,
+                    burst=organisation.burst,
+                )
+                for organisation in organisations
+            ),
+            refusals=_refusals(runtime),
+        )
+    )
+
+
+def _refusals(runtime: runtimes.Runtime) -> dict[str, int]:
+    """Returns the root requests that did not run, by reason."""
+    counts: dict[str, int] = {}
+    for (_, outcome, reason), count in runtime.recorder.endings.items():
+        if outcome == outcomes.Outcome.NOT_RUN:
+            counts[reason] = counts.get(reason, 0) + count
+    return counts
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/targets.py
@@ -0,0 +1,167 @@
+"""Targets: list, stop, start, progress of a drain."""
+
+from collections.abc import Callable
+
+import result
+from sassafras_policy.configuration import document as documents
+from sassafras_policy.configuration import edits
+from sassafras_policy.membership import records
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.admin import changes
+from sassafras_node.admin import peer_status
+from sassafras_node.admin import replies
+from sassafras_node.admin import routing
+
+_GONE = "gone"
+_UNREACHABLE = "unreachable"
+
+
+@routing.route("GET", "/targets", operators.Role.READ)
+async def list_targets(call: routing.Call) -> replies.Reply:
+    """Answers with the targets that nodes have announced."""
+    runtime = call.runtime
+    found = [
+        describe(runtime, record)
+        for record in runtime.table.all
+        if record.target_address
+    ]
+    found.sort(key=lambda target: (target.service, target.address))
+    return result.Ok(
+        models.Targets(
+            revision=runtime.configuration.revision, targets=tuple(found)
+        )
+    )
+
+
+@routing.route(
+    "POST", "/targets/stop", operators.Role.CHANGE, models.TargetRequest
+)
+async def stop(call: routing.Call) -> replies.Reply:
+    """Gives a target no more new work; its calls in flight go on."""
+    assert isinstance(call.input, models.TargetRequest)
+    address = call.input.address
+    if _find(call.runtime, address) is None and not _is_stopped(
+        call.runtime, address
+    ):
+        return _no_target(call.step, address)
+    return await _change(call, "targets-stop", edits.stop_target)
+
+
+@routing.route(
+    "POST", "/targets/start", operators.Role.CHANGE, models.TargetRequest
+)
+async def start(call: routing.Call) -> replies.Reply:
+    """Gives a stopped target new work again."""
+    assert isinstance(call.input, models.TargetRequest)
+    address = call.input.address
+    if _find(call.runtime, address) is None and not _is_stopped(
+        call.runtime, address
+    ):
+        return _no_target(call.step, address)
+    return await _change(call, "targets-start", edits.start_target)
+
+
+@routing.route("GET", "/targets/drain", operators.Role.READ, models.TargetQuery)
+async def get_drain(call: routing.Call) -> replies.Reply:
+    """Answers with the calls that a target still runs."""
+    assert isinstance(call.input, models.TargetQuery)
+    address = call.input.address
+    record = _find(call.runtime, address)
+    if record is None:
+        if _is_stopped(call.runtime, address):
+            return result.Ok(
+                models.Drain(address=address, state=_GONE, drained=True)
+            )
+        return _no_target(call.step, address)
+    status = await peer_status.ask(call.runtime, record.node_id)
+    if status is None:
+        return result.Ok(models.Drain(address=address, state=_UNREACHABLE))
+    if status.target_address != address:
+        return result.Ok(
+            models.Drain(address=address, state=_GONE, drained=True)
+        )
+    return result.Ok(
+        models.Drain(
+            address=address,
+            state=status.target_state,
+            calls_in_flight=status.calls_in_flight,
+            drained=status.target_state != records.TargetState.SERVING
+            and status.calls_in_flight == 0,
+        )
+    )
+
+
+def describe(
+    runtime: runtimes.Runtime, record: records.NodeRecord
+) -> models.Target:
+    """Returns the target beside a node as operators see it."""
+    return models.Target(
+        address=record.target_address,
+        service=record.service,
+        node_id=record.node_id,
+        availability_zone=record.availability_zone,
+        state=_state(record),
+        slots=record.slots,
+        stopped=_is_stopped(runtime, record.target_address),
+    )
+
+
+def _state(record: records.NodeRecord) -> str:
+    if record.status >= records.Status.DEAD:
+        return _UNREACHABLE
+    return str(record.target_state)
+
+
+def _find(runtime: runtimes.Runtime, address: str) -> records.NodeRecord | None:
+    """Returns the newest record of the node beside a target."""
+    found = [r for r in runtime.table.all if r.target_address == address]
+    # A host that was replaced may leave a dead record with its address.
+    return min(found, key=lambda r: (r.status, -r.incarnation), default=None)
+
+
+def _is_stopped(runtime: runtimes.Runtime, address: str) -> bool:
+    index = runtime.configuration.index
+    return index is not None and address in index.document.stopped_targets
+
+
+async def _change(
+    call: routing.Call,
+    action: str,
+    change: Callable[[documents.Document, str], edits.Edited],
+) -> replies.Reply:
+    assert isinstance(call.input, models.TargetRequest)
+    address = call.input.address
+
+    def edit(
+        stored: documents.Document | None,
+    ) -> result.Result[documents.Document, replies.Refusal]:
+        if stored is None:
+            return _no_target(call.step, address)
+        return change(stored, address).map_err(
+            lambda refused: replies.from_edit(call.step, refused)
+        )
+
+    return await changes.commit(
+        call.runtime,
+        changes.Proposal(
+            operator=call.operator,
+            step=call.step,
+            action=action,
+            subject=address,
+            note=call.input.note,
+            edit=edit,
+        ),
+    )
+
+
+def _no_target(step: str, address: str) -> result.Err[replies.Refusal]:
+    return replies.refuse(
+        replies.NOT_FOUND,
+        step,
+        "local",
+        f"no target has announced itself as {address}",
+        "list the targets; a target announces itself to the node beside it",
+    )
--- a/packages/sassafras-node/src/sassafras_node/calls/contexts.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/contexts.py
@@ -52,6 +52,11 @@
     def __init__(self) -> None:
         self._calls: dict[str, ActiveCall] = {}
 
+    @property
+    def count(self) -> int:
+        """How many calls the target runs."""
+        return len(self._calls)
+
     def open(self, call: ActiveCall) -> str:
         """Returns a new token for a call."""
         token = secrets.token_urlsafe(_TOKEN_BYTES)
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -152,6 +152,7 @@
 
     def _on_configuration(self, index: indexes.Index) -> None:
         self.target.set_class_count(index.class_count)
+        self.target.set_stopped(index.document.stopped_targets)
         self._configure_limiter()
         self._wake()
 
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/store/history.py
@@ -0,0 +1,86 @@
+"""Earlier contents of the configuration, kept in the store.
+
+A content is kept before it is replaced, so that no crash leaves a gap.
+"""
+
+from sassafras_base import errors
+from sassafras_policy.configuration import document as documents
+from sassafras_wire.configuration import models as configuration_models
+from sassafras_wire.store import client as store_client
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.store import keys
+from sassafras_node.store import numbered
+
+# With documents of 1 MB, the largest allowed, this is 20 MB in the store.
+CONTENTS_KEPT = 20
+
+# What reading a content may raise.
+READ_ERRORS = (
+    store_client.StoreUnavailableError,
+    store_client.StoreRefusedError,
+    errors.InvalidInputError,
+)
+
+
+async def keep(runtime: runtimes.Runtime, document: documents.Document) -> None:
+    """Stores a content that is about to be replaced.
+
+    A content that is kept already is left alone: one revision has only one
+    content, so a write whose answer was lost may simply be repeated.
+
+    Raises:
+      StoreUnavailableError: No answer came.
+      StoreRefusedError: The store answered with an error.
+    """
+    content = configuration_models.encode(document)
+    await numbered.put_new(
+        runtime.store, keys.HISTORY, document.revision, content
+    )
+    numbers = await numbered.list_numbers(runtime.store, keys.HISTORY)
+    await numbered.trim(runtime.store, keys.HISTORY, numbers, CONTENTS_KEPT)
+
+
+async def read(
+    runtime: runtimes.Runtime, revision: int
+) -> documents.Document | None:
+    """Returns an earlier or the newest content, or None.
+
+    Raises:
+      StoreUnavailableError: No answer came.
+      StoreRefusedError: The store answered with an error.
+      InvalidInputError: What the store has is not a valid document.
+    """
+    newest = await read_newest(runtime)
+    if newest is not None and newest.revision == revision:
+        return newest
+    found = await runtime.store.get(f"{keys.HISTORY}{revision}")
+    if found is None:
+        return None
+    return configuration_models.decode(found.value, "store")
+
+
+async def read_newest(runtime: runtimes.Runtime) -> documents.Document | None:
+    """Returns the content that the store has now; see `read`."""
+    found = await runtime.store.get(keys.CONFIGURATION)
+    if found is None:
+        return None
+    return configuration_models.decode(found.value, "store")
+
+
+async def read_all(runtime: runtimes.Runtime) -> list[documents.Document]:
+    """Returns all contents in the store, the newest first; see `read`.
+
+    They are read one by one, since together they may exceed one answer.
+    """
+    contents: list[documents.Document] = []
+    newest = await read_newest(runtime)
+    if newest is not None:
+        contents.append(newest)
+    numbers = await numbered.list_numbers(runtime.store, keys.HISTORY)
+    for number in reversed(numbers):
+        found = await runtime.store.get(f"{keys.HISTORY}{number}")
+        if found is None or (newest and number == newest.revision):
+            continue
+        contents.append(configuration_models.decode(found.value, "store"))
+    return contents
--- a/packages/sassafras-node/src/sassafras_node/store/keys.py
+++ b/packages/sassafras-node/src/sassafras_node/store/keys.py
@@ -3,6 +3,8 @@
 CONFIGURATION = "/sassafras/config"
 ROSTER = "/sassafras/roster"
 ZONES = "/sassafras/zones/"
+HISTORY = "/sassafras/history/"
+AUDIT = "/sassafras/audit/"
 
 
 def zone_watcher(availability_zone: str) -> str:
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -1,7 +1,7 @@
 """The root of the supervisor tree.
 
-Children: `store`, `peers`, `membership`, `targets` and `callers`, each a
-supervisor of its own. One that gives up is restarted here; when that happens
+Children: `store`, `peers`, `membership`, `targets`, `callers` and `admin`, each
+a supervisor of its own. One that gives up is restarted here; when that happens
 too often the root gives up and the process exits with an error.
 """
 
@@ -13,6 +13,7 @@
 import trio
 
 from sassafras_node import runtime as runtimes
+from sassafras_node.admin import supervisor as admin
 from sassafras_node.callers import supervisor as callers
 from sassafras_node.membership import supervisor as membership
 from sassafras_node.peers import supervisor as peers
@@ -55,10 +56,11 @@
         callers.make_listener(runtime),
         targets.make_listener(runtime),
         peers.make_listener(runtime),
+        admin.make_listener(runtime),
     ]
     for listener in listeners:
         await listener.bind()
-    caller_listener, target_listener, peer_listener = listeners
+    caller_listener, target_listener, peer_listener, admin_listener = listeners
     root = supervision.Supervisor("node")
     runtime.supervisors[root.path] = root
     children = [
@@ -67,6 +69,7 @@
         ("membership", functools.partial(membership.run, runtime)),
         ("targets", functools.partial(targets.run, runtime, target_listener)),
         ("callers", functools.partial(callers.run, runtime, caller_listener)),
+        ("admin", functools.partial(admin.run, runtime, admin_listener)),
     ]
     try:
         async with trio.open_nursery() as nursery:
--- a/packages/sassafras-node/src/sassafras_node/targets/beside.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/beside.py
@@ -26,6 +26,7 @@
         self._announcement: records.Announcement | None = None
         self._heard_at = 0.0
         self._class_count = 1
+        self._stopped: frozenset[str] = frozenset()
         self.admission = self._new_admission(1)
         self.pool = self._new_pool("127.0.0.1:1", 1)
 
@@ -40,6 +41,7 @@
         return (
             self._announcement is not None
             and self._announcement.state is records.TargetState.SERVING
+            and self._announcement.address not in self._stopped
         )
 
     @property
@@ -59,6 +61,10 @@
             if self._announcement is not None:
                 self.admission = self._new_admission(self._announcement.slots)
 
+    def set_stopped(self, addresses: tuple[str, ...]) -> None:
+        """Takes over the targets that operators have stopped."""
+        self._stopped = frozenset(addresses)
+
     async def announce(self, announcement: records.Announcement) -> None:
         """Takes over an announcement from the target."""
         known = self._announcement
--- /dev/null
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/edits.py
@@ -0,0 +1,159 @@
+"""Changes of the configuration other than by a new questionnaire.
+
+Each function returns the next revision, or the document itself when it
+already is as asked, so that an operator may repeat a request whose outcome
+was unknown.
+"""
+
+import dataclasses
+
+import result
+
+from sassafras_policy.configuration import document as documents
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Why a change cannot be made.
+
+    Attributes:
+      problem: What is wrong.
+      advice: What the operator can do.
+      is_missing: Whether the change names something that does not exist.
+    """
+
+    problem: str
+    advice: str
+    is_missing: bool = False
+
+
+Edited = result.Result[documents.Document, Refused]
+
+
+def grant_key(
+    document: documents.Document, organisation: str, label: str, digest: str
+) -> Edited:
+    """Adds a key to an organisation."""
+    found = _find_organisation(document, organisation)
+    if isinstance(found, result.Err):
+        return found
+    known = found.ok_value
+    if any(key.label == label for key in known.keys):
+        return result.Err(
+            Refused(
+                f"organisation {organisation} already has a key called"
+                f" {label!r}",
+                "choose another label or withdraw that key first",
+            )
+        )
+    key = documents.Key(label, digest)
+    return result.Ok(_with_keys(document, organisation, (*known.keys, key)))
+
+
+def withdraw_key(
+    document: documents.Document, organisation: str, label: str
+) -> Edited:
+    """Removes a key from an organisation."""
+    found = _find_organisation(document, organisation)
+    if isinstance(found, result.Err):
+        return found
+    known = found.ok_value
+    kept = tuple(key for key in known.keys if key.label != label)
+    if kept == known.keys:
+        return result.Err(
+            Refused(
+                f"organisation {organisation} has no key called {label!r}",
+                "list the keys; a key that is not listed is not in force",
+                is_missing=True,
+            )
+        )
+    return result.Ok(_with_keys(document, organisation, kept))
+
+
+def stop_target(document: documents.Document, address: str) -> Edited:
+    """Adds a target to those that get no new work."""
+    if address in document.stopped_targets:
+        return result.Ok(document)
+    return result.Ok(
+        _next(document, stopped_targets=(*document.stopped_targets, address))
+    )
+
+
+def start_target(document: documents.Document, address: str) -> Edited:
+    """Lets a stopped target have work again."""
+    if address not in document.stopped_targets:
+        return result.Ok(document)
+    return result.Ok(
+        _next(
+            document,
+            stopped_targets=tuple(
+                stopped
+                for stopped in document.stopped_targets
+                if stopped != address
+            ),
+        )
+    )
+
+
+def replace_contents(
+    document: documents.Document | None, contents: documents.Document
+) -> documents.Document:
+    """Returns the contents as the revision after a document.
+
+    Keys and stopped targets stay as they are in the document: an earlier
+    content must not bring back a key that has been withdrawn since.
+
+    Args:
+      document: The newest revision; None when there is none yet.
+      contents: What to take over, such as an earlier revision.
+    """
+    if document is None:
+        return dataclasses.replace(contents, revision=1)
+    keys = {o.name: o.keys for o in document.organisations}
+    return dataclasses.replace(
+        contents,
+        revision=document.revision + 1,
+        organisations=tuple(
+            dataclasses.replace(o, keys=keys.get(o.name, ()))
+            for o in contents.organisations
+        ),
+        stopped_targets=document.stopped_targets,
+    )
+
+
+def _find_organisation(
+    document: documents.Document, name: str
+) -> result.Result[documents.Organisation, Refused]:
+    for organisation in document.organisations:
+        if organisation.name == name:
+            return result.Ok(organisation)
+    known = ", ".join(o.name for o in document.organisations) or "none"
+    return result.Err(
+        Refused(
+            f"there is no organisation called {name!r}",
+            f"the organisations are: {known}",
+            is_missing=True,
+        )
+    )
+
+
+def _with_keys(
+    document: documents.Document, name: str, keys: tuple[documents.Key, ...]
+) -> documents.Document:
+    return _next(
+        document,
+        organisations=tuple(
+            dataclasses.replace(o, keys=keys) if o.name == name else o
+            for o in document.organisations
+        ),
+    )
+
+
+def _next(
+    document: documents.Document, **changes: object
+) -> documents.Document:
+    return dataclasses.replace(
+        document,
+        revision=document.revision + 1,
+        **changes,  # type: ignore[arg-type]
+    )
--- a/packages/sassafras-standins/src/sassafras_standins/store/data.py
+++ b/packages/sassafras-standins/src/sassafras_standins/store/data.py
@@ -65,6 +65,15 @@
         self._record(Change(self.revision, key, value))
         return True
 
+    def delete(self, key: bytes) -> int:
+        """Deletes a key; returns how many keys that were."""
+        self.expire()
+        if self.entries.pop(key, None) is None:
+            return 0
+        self.revision += 1
+        self._record(Change(self.revision, key, None))
+        return 1
+
     def grant(self, ttl_s: float) -> int:
         """Returns the id of a new lease."""
         lease = next(self._ids)
--- a/packages/sassafras-standins/src/sassafras_standins/store/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/store/server.py
@@ -102,10 +102,14 @@
                 base64.b64decode(body["key"]),
                 base64.b64decode(body.get("range_end", "")),
             )
-            return {
-                "header": header,
-                "kvs": [_key_value(key, entry) for key, entry in found],
-            }
+            kvs = [_key_value(key, entry) for key, entry in found]
+            if body.get("keys_only"):
+                for item in kvs:
+                    del item["value"]
+            return {"header": header, "kvs": kvs}
+        if path == "/v3/kv/deleterange":
+            deleted = self.data.delete(base64.b64decode(body["key"]))
+            return {"header": header, "deleted": str(deleted)}
         if path == "/v3/kv/txn":
             compare = body["compare"][0]
             put = body["success"][0]["request_put"]
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the administration API, for the node and the command line."""
--- a/packages/sassafras-wire/src/sassafras_wire/configuration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/configuration/models.py
@@ -1,10 +1,14 @@
 """Validated models of the configuration document and its JSON form."""
 
+from collections.abc import Mapping
 import dataclasses
+from typing import Any
 
 import pydantic
+import result
 from sassafras_base import errors
 from sassafras_policy.configuration import document as documents
+from sassafras_policy.configuration import validity
 
 _STEP = "configuration.decode"
 _DIGEST = r"^[0-9a-f]{64}$"
@@ -114,6 +118,41 @@
             for fault in error.errors(include_input=False)
         ]
         raise errors.InvalidInputError(_STEP, source, faults) from None
+    return _to_document(model)
+
+
+def check_posted(
+    content: Mapping[str, Any],
+) -> result.Result[documents.Document, list[validity.DocumentFault]]:
+    """Returns the document that an operator posted, or all its faults.
+
+    Unlike a document from a peer or the store, it must not have unknown
+    fields, which are more likely misspelt than new. Its revision does not
+    count; the node sets it.
+    """
+    try:
+        model = DocumentModel.model_validate(
+            {**content, "revision": 1}, extra="forbid"
+        )
+    except pydantic.ValidationError as error:
+        return result.Err([_to_fault(fault) for fault in error.errors()])
+    document = _to_document(model)
+    faults = validity.find_faults(document)
+    return result.Err(faults) if faults else result.Ok(document)
+
+
+def _to_fault(fault: Mapping[str, Any]) -> validity.DocumentFault:
+    location = [str(part) for part in fault["loc"]] or ["document"]
+    given = fault["input"]
+    return validity.DocumentFault(
+        subject=".".join(location[:-1]) or "document",
+        field=location[-1],
+        given=str(given) if isinstance(given, str | int | float) else "",
+        allowed=fault["msg"],
+    )
+
+
+def _to_document(model: DocumentModel) -> documents.Document:
     return documents.Document(
         revision=model.revision,
         write_id=model.write_id,
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -200,3 +200,24 @@
     type: Literal["report"] = "report"
     node_id: str
     series: list[ReportSeries] = []
+
+
+@message_types.register("status_fetch")
+class StatusFetch(Message):
+    """Asks for the state of a node, at an operator's request."""
+
+    type: Literal["status_fetch"] = "status_fetch"
+
+
+@message_types.register("status")
+class StatusMessage(Message):
+    """The state of a node and of the target beside it."""
+
+    type: Literal["status"] = "status"
+    node_id: str
+    incarnation: int
+    config_revision: int
+    roster_epoch: int = 0
+    target_address: str = ""
+    target_state: str = "absent"
+    calls_in_flight: int = 0
--- a/packages/sassafras-wire/src/sassafras_wire/store/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/client.py
@@ -77,6 +77,27 @@
         )
         return found.kvs
 
+    async def list_keys(self, prefix: str) -> list[str]:
+        """Returns the names of all keys that begin with a prefix."""
+        found = await self._range(
+            {
+                "key": _encode(prefix),
+                "range_end": _encode(_after(prefix)),
+                "keys_only": True,
+            }
+        )
+        return [item.key.decode() for item in found.kvs]
+
+    async def delete(self, key: str) -> None:
+        """Deletes a key; one that does not exist is left so.
+
+        Raises:
+          StoreUnavailableError: No answer came; the key may be deleted.
+        """
+        await self._call(
+            "/v3/kv/deleterange", {"key": _encode(key)}, models.DeleteAnswer
+        )
+
     async def put_if(
         self, key: str, value: bytes, mod_revision: int, lease: int = 0
     ) -> bool:
--- a/packages/sassafras-wire/src/sassafras_wire/store/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/models.py
@@ -40,6 +40,13 @@
     kvs: list[KeyValue] = []
 
 
+class DeleteAnswer(_Model):
+    """Answer of `/v3/kv/deleterange`."""
+
+    header: Header = Header()
+    deleted: int = 0
+
+
 class TxnAnswer(_Model):
     """Answer of `/v3/kv/txn`."""
 
--- /dev/null
+++ b/tests/common/administration.py
@@ -0,0 +1,208 @@
+"""A node in this process with a store stand-in, for administration tests."""
+
+import contextlib
+import json
+import pathlib
+import random
+
+from sassafras_base import clock as clocks
+from sassafras_base import hashing
+from sassafras_node import runtime as runtimes
+from sassafras_node import supervisor
+from sassafras_policy.calls import messages
+from sassafras_standins.fleet import launcher
+from sassafras_standins.fleet import samples
+from sassafras_standins.store import server as store_server
+from sassafras_wire.http import client as http_client
+from sassafras_wire.settings import node as node_settings
+import trio
+
+READER = "credential-of-the-reader"
+CHANGER = "credential-of-the-changer"
+WALL_TIME_S = 1_750_000_000.0
+
+QUESTIONNAIRE = """
+[deployment]
+name = harbour
+availability_zones = zone-a
+[classes]
+order = lodgement, status
+[service desk]
+targets = 1
+slots = 10
+connections = 20
+[organisation national-bank]
+rate_per_s = 100
+burst = 50
+[organisation cooperative]
+rate_per_s = 10
+burst = 20
+[route status]
+service = desk
+method = GET
+path = /desk/**
+class = status
+at_most_once = no
+deadline_ms = 2000
+[route lodge]
+service = desk
+method = POST
+path = /desk/cheques
+class = lodgement
+at_most_once = yes
+deadline_ms = 5000
+"""
+
+# The same with another rate, and with two faults.
+REVISED = QUESTIONNAIRE.replace("rate_per_s = 100", "rate_per_s = 200")
+FAULTY = QUESTIONNAIRE.replace("rate_per_s = 100", "rate_per_s = 0").replace(
+    "class = status", "class = stats"
+)
+
+
+class FixedClock(clocks.SystemClock):
+    """A clock whose wall time never changes, for golden files."""
+
+    def wall(self):
+        return WALL_TIME_S
+
+
+class Answer:
+    """An answer of the administration API."""
+
+    def __init__(self, response):
+        self.status = response.status
+        self.text = response.body.decode()
+        self.json = json.loads(response.body)
+
+
+class Site:
+    """A node and its store.
+
+    Attributes:
+      address: Where operators connect.
+      runtime: The node's state.
+      store: The store stand-in.
+      folder: Where its files are.
+    """
+
+    def __init__(self, address, runtime, store, folder):
+        self.address = address
+        self.runtime = runtime
+        self.store = store
+        self.folder = folder
+
+    async def request(self, method, path, content=None, credential=CHANGER):
+        """Sends a request; content may be bytes, to send what is no JSON."""
+        headers = [("content-type", "application/json")]
+        if credential:
+            headers.append(("authorization", f"Bearer {credential}"))
+        body = b"" if content is None else content
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        connection = await http_client.ClientConnection.connect(
+            self.address, "test", 4_000_000, 5.0
+        )
+        try:
+            return Answer(
+                await connection.exchange(
+                    messages.Request(method, path, tuple(headers), body)
+                )
+            )
+        finally:
+            await connection.close()
+
+    async def apply(self, text=QUESTIONNAIRE, expected=0, **extra):
+        return await self.request(
+            "POST",
+            "/configuration/apply",
+            {"questionnaire": text, "expected_revision": expected, **extra},
+        )
+
+    async def announce(self, address, **changes):
+        """Announces a target to the node, as the target would."""
+        content = {
+            "address": address,
+            "service": "desk",
+            "slots": 10,
+            "connections": 20,
+            **changes,
+        }
+        connection = await http_client.ClientConnection.connect(
+            self.runtime.settings.host.target_address, "test", 4_000_000, 5.0
+        )
+        try:
+            response = await connection.exchange(
+                messages.Request(
+                    "PUT",
+                    "/sassafras/announcement",
+                    (),
+                    json.dumps(content).encode(),
+                )
+            )
+            assert response.status == 200, response.body
+        finally:
+            await connection.close()
+
+    def changes(self):
+        """Returns all that operators' changes leave in the store."""
+        return {
+            **self.stored("/sassafras/config"),
+            **self.stored("/sassafras/history/"),
+            **self.stored("/sassafras/audit/"),
+        }
+
+    def stored(self, prefix):
+        """Returns what the store has below a prefix, by key."""
+        return {
+            key.decode(): json.loads(entry.value)
+            for key, entry in self.store.data.entries.items()
+            if key.startswith(prefix.encode())
+        }
+
+
+def operators_file(folder):
+    """Writes the operators' credentials and returns the path."""
+    path = pathlib.Path(folder) / "operators.ini"
+    path.write_text(
+        f"[rita]\nrole = read\ndigest = {hashing.digest(READER)}\n"
+        f"[carl]\nrole = change\ndigest = {hashing.digest(CHANGER)}\n"
+    )
+    return path
+
+
+@contextlib.asynccontextmanager
+async def site(folder, *, with_operators=True):
+    """Runs a node and its store until the context ends."""
+    folder = pathlib.Path(folder)
+    (folder / "secret").write_text("a-secret-for-loopback-only")
+    place = launcher.make_place("only", "zone-a", service="desk")
+    store_address = launcher.free_address()
+    settings = node_settings.NodeSettings.model_validate(
+        {
+            "host": {
+                "availability_zone": "zone-a",
+                "caller_address": place.caller_address,
+                "target_address": place.target_address,
+                "peer_address": place.peer_address,
+                "admin_address": place.admin_address,
+            },
+            "peers": {"secret_file": str(folder / "secret")},
+            "store": {"endpoints": store_address, "timeout_s": 1.0},
+            "admin": {
+                "operators_file": str(operators_file(folder))
+                if with_operators
+                else ""
+            },
+        }
+    )
+    store = store_server.StoreServer()
+    runtime = runtimes.Runtime(settings, FixedClock(), random.Random(1))
+    async with trio.open_nursery() as nursery:
+        await nursery.start(store.listen, store_address)
+        await nursery.start(supervisor.run, runtime)
+        yield Site(place.admin_address, runtime, store, folder)
+        nursery.cancel_scope.cancel()
+
+
+CALLER_KEY = samples.NATIONAL_KEY
