Add the operators' command line

Change: A registry of commands, filled by decorators, over a client of the administration API: check, show, plan, apply, history, rollforward, keys-grant, keys-withdraw, keys-list, targets-list, targets-start, targets-stop (waits until drained and shows progress), nodes, nodes-forget, status and audit. A change whose answer is lost ends with "outcome unknown". Requests that break HTTP or a limit are answered in JSON on the administration address.

Conclusion: Every command has a contract test and a help example that it accepts.

--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, registered by decorators."""
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
@@ -0,0 +1,198 @@
+"""Commands for the configuration."""
+
+import json
+
+import result
+from sassafras_wire.administration import models
+
+from sassafras_cli import client as clients
+from sassafras_cli import exit_codes
+from sassafras_cli import registry
+from sassafras_cli import tables
+from sassafras_cli.commands import contents
+from sassafras_cli.commands import requests
+
+
+class CheckAnswer(models.Answer):
+    """That a file has no faults."""
+
+    file: str
+    summary: str
+
+
+@registry.command(
+    "check",
+    "FILE",
+    example="sassafras check examples/athens.ini",
+    uses_node=False,
+)
+async def check(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Checks a questionnaire and shows every fault; needs no node."""
+    (path,) = invocation.arguments
+    loaded = contents.load(path)
+    if isinstance(loaded, result.Err):
+        return invocation.fail(loaded.err_value)
+    summary = loaded.ok_value.summary
+    return invocation.show(
+        CheckAnswer(file=path, summary=summary),
+        f"{path}: no faults; {summary}",
+    )
+
+
+@registry.command(
+    "show",
+    example="sassafras show --json --node=10.0.0.7:7404"
+    " --credential_file=credential > document.json",
+)
+async def show(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Shows the document in force; with --json in the form apply takes."""
+    got = await invocation.node.get("/configuration", models.Configuration)
+    if isinstance(got, result.Err):
+        return invocation.fail(got.err_value)
+    document = got.ok_value.document or {}
+    text = json.dumps(document, indent=2)
+    if not invocation.options.json:
+        text = f"revision {got.ok_value.revision}\n{text}"
+    print(text, file=invocation.out)
+    return exit_codes.ExitCode.DONE
+
+
+@registry.command(
+    "plan",
+    "FILE",
+    example="sassafras plan examples/athens.ini --node=10.0.0.7:7404"
+    " --credential_file=credential",
+)
+async def plan(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Shows what a file would change in the configuration in force."""
+    (path,) = invocation.arguments
+    loaded = contents.load(path)
+    if isinstance(loaded, result.Err):
+        return invocation.fail(loaded.err_value)
+    planned = await invocation.node.ask(
+        "/configuration/plan", loaded.ok_value.request, models.Plan
+    )
+    if isinstance(planned, result.Err):
+        return invocation.fail(planned.err_value)
+    answer = planned.ok_value
+    lines = [
+        f"revision {answer.revision} is in force",
+        tables.differences(answer.differences),
+    ]
+    if answer.differences:
+        lines.append(
+            f"to apply: sassafras apply {path}"
+            f" --expected_revision={answer.revision}"
+        )
+    return invocation.show(answer, "\n".join(lines))
+
+
+@registry.command(
+    "apply",
+    "FILE",
+    flags=("expected_revision", "note"),
+    example="sassafras apply examples/athens.ini --expected_revision=7"
+    ' --note="higher rate for the Aegean bank" --node=10.0.0.7:7404'
+    " --credential_file=credential",
+)
+async def apply(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Puts a file into force, if the expected revision is still the newest."""
+    (path,) = invocation.arguments
+    expected = invocation.options.expected_revision
+    if expected is None:
+        return invocation.fail(_no_expected_revision())
+    loaded = contents.load(path)
+    if isinstance(loaded, result.Err):
+        return invocation.fail(loaded.err_value)
+    content = loaded.ok_value.request
+    made = await invocation.node.change(
+        "/configuration/apply",
+        models.ApplyRequest(
+            questionnaire=content.questionnaire,
+            document=content.document,
+            expected_revision=expected,
+            note=invocation.options.note,
+        ),
+        models.Change,
+    )
+    return report(invocation, made)
+
+
+@registry.command(
+    "history",
+    "[REVISION]",
+    example="sassafras history --node=10.0.0.7:7404"
+    " --credential_file=credential",
+)
+async def history(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Lists the last contents, or shows the one of a revision."""
+    query = {}
+    if invocation.arguments:
+        query["revision"] = invocation.arguments[0]
+    got = await invocation.node.get(
+        "/configuration/history", models.History, query
+    )
+    if isinstance(got, result.Err):
+        return invocation.fail(got.err_value)
+    found = got.ok_value.contents
+    text = tables.render(
+        ("REVISION", "AUTHOR", "NOTE"),
+        [(item.revision, item.author, item.note) for item in found],
+    )
+    if invocation.arguments:
+        text += "\n" + json.dumps(found[0].document, indent=2)
+    return invocation.show(got.ok_value, text)
+
+
+@registry.command(
+    "rollforward",
+    "REVISION",
+    flags=("expected_revision", "note"),
+    example="sassafras rollforward 5 --expected_revision=7"
+    " --node=10.0.0.7:7404 --credential_file=credential",
+)
+async def roll_forward(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Puts an earlier content into force again, as a new revision."""
+    (revision,) = invocation.arguments
+    expected = invocation.options.expected_revision
+    if expected is None:
+        return invocation.fail(_no_expected_revision())
+    if not revision.isdigit() or int(revision) == 0 or expected == 0:
+        return invocation.fail(
+            requests.usage("REVISION and --expected_revision must be 1 or more")
+        )
+    made = await invocation.node.change(
+        "/configuration/rollforward",
+        models.RollForwardRequest(
+            revision=int(revision),
+            expected_revision=expected,
+            note=invocation.options.note,
+        ),
+        models.Change,
+    )
+    return report(invocation, made)
+
+
+def report(
+    invocation: registry.Invocation,
+    made: result.Result[models.Change, clients.Failure],
+) -> exit_codes.ExitCode:
+    """Prints what became of a change."""
+    if isinstance(made, result.Err):
+        return invocation.fail(made.err_value)
+    change = made.ok_value
+    if change.outcome is models.WriteOutcome.UNCHANGED:
+        return invocation.show(
+            change, f"already as asked in revision {change.revision}"
+        )
+    lines = [f"written as revision {change.revision}"]
+    if change.differences:
+        lines.append(tables.differences(change.differences))
+    return invocation.show(change, "\n".join(lines))
+
+
+def _no_expected_revision() -> clients.Failure:
+    return requests.usage(
+        "--expected_revision is missing; run `sassafras plan` or `sassafras"
+        " history` to see the newest one"
+    )
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/contents.py
@@ -0,0 +1,104 @@
+"""Reads a questionnaire or a document from a file and checks it."""
+
+import dataclasses
+import json
+import pathlib
+
+import result
+from sassafras_wire.administration import models
+from sassafras_wire.configuration import models as configuration_models
+from sassafras_wire.questionnaire import reading
+
+from sassafras_cli import client as clients
+from sassafras_cli import exit_codes
+
+_DOCUMENT_SUFFIX = ".json"
+_STEP = "cli.read"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FileContent:
+    """A new content without faults.
+
+    Attributes:
+      request: The content in the form that a node takes.
+      summary: How much of what it has, in words.
+    """
+
+    request: models.ContentRequest
+    summary: str
+
+
+def load(path: str) -> result.Result[FileContent, clients.Failure]:
+    """Returns the content of a file; one that ends in .json is a document."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return _invalid(path, f"cannot be read: {error}", ())
+    if path.endswith(_DOCUMENT_SUFFIX):
+        return _load_document(path, text)
+    checked = reading.check(text)
+    if isinstance(checked, result.Err):
+        faults = tuple(
+            models.FaultModel(**dataclasses.asdict(fault))
+            for fault in checked.err_value
+        )
+        return _invalid(path, f"{len(faults)} fault(s)", faults)
+    found = checked.ok_value
+    summary = (
+        f"{len(found.services)} services, {len(found.organisations)}"
+        f" organisations, {len(found.routes)} routes,"
+        f" {len(found.objectives)} objectives"
+    )
+    return result.Ok(
+        FileContent(models.ContentRequest(questionnaire=text), summary)
+    )
+
+
+def _load_document(
+    path: str, text: str
+) -> result.Result[FileContent, clients.Failure]:
+    try:
+        content = json.loads(text)
+    except ValueError as error:
+        return _invalid(path, f"is not JSON: {error}", ())
+    if not isinstance(content, dict):
+        return _invalid(path, "is not a JSON object", ())
+    checked = configuration_models.check_posted(content)
+    if isinstance(checked, result.Err):
+        faults = tuple(
+            models.FaultModel(
+                section=fault.subject,
+                key=fault.field,
+                given=fault.given,
+                allowed=fault.allowed,
+            )
+            for fault in checked.err_value
+        )
+        return _invalid(path, f"{len(faults)} fault(s)", faults)
+    found = checked.ok_value
+    summary = (
+        f"{len(found.services)} services, {len(found.organisations)}"
+        f" organisations, {len(found.routes)} routes,"
+        f" {len(found.objectives)} objectives"
+    )
+    return result.Ok(
+        FileContent(models.ContentRequest(document=content), summary)
+    )
+
+
+def _invalid(
+    path: str, problem: str, faults: tuple[models.FaultModel, ...]
+) -> result.Err[clients.Failure]:
+    return result.Err(
+        clients.Failure(
+            exit_codes.ExitCode.USAGE,
+            models.Problem(
+                step=_STEP,
+                peer=path,
+                problem=problem,
+                advice="correct the file; nothing was sent",
+                faults=faults,
+            ),
+        )
+    )
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
@@ -0,0 +1,80 @@
+"""Commands for nodes."""
+
+import result
+from sassafras_wire.administration import models
+
+from sassafras_cli import exit_codes
+from sassafras_cli import registry
+from sassafras_cli import tables
+from sassafras_cli.commands import requests
+
+
+@registry.command(
+    "nodes",
+    example="sassafras nodes --node=10.0.0.7:7404 --credential_file=credential",
+)
+async def list_nodes(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Lists the nodes with incarnation, status and revision in force."""
+    got = await invocation.node.get("/nodes", models.Nodes)
+    if isinstance(got, result.Err):
+        return invocation.fail(got.err_value)
+    answer = got.ok_value
+    table = tables.render(
+        (
+            "NODE",
+            "ZONE",
+            "STATUS",
+            "INCARNATION",
+            "REVISION",
+            "EPOCH",
+            "ROSTER",
+            "SERVICE",
+            "TARGET",
+        ),
+        [
+            (
+                node.node_id,
+                node.availability_zone,
+                node.status,
+                node.incarnation,
+                node.revision,
+                node.roster_epoch,
+                node.in_roster,
+                node.service,
+                node.target_state,
+            )
+            for node in answer.nodes
+        ],
+    )
+    return invocation.show(
+        answer,
+        f"revision {answer.revision}, roster epoch {answer.roster_epoch}\n"
+        + table,
+    )
+
+
+@registry.command(
+    "nodes-forget",
+    "NODE",
+    flags=("note",),
+    example="sassafras nodes-forget 10.0.0.9:7401 --node=10.0.0.7:7404"
+    " --credential_file=credential",
+)
+async def forget(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Removes a lost node from the roster; its host must be gone for good."""
+    (node_id,) = invocation.arguments
+    request = requests.build(
+        models.ForgetRequest, node_id=node_id, note=invocation.options.note
+    )
+    if isinstance(request, result.Err):
+        return invocation.fail(request.err_value)
+    made = await invocation.node.change(
+        "/nodes/forget", request.ok_value, models.Change
+    )
+    if isinstance(made, result.Err):
+        return invocation.fail(made.err_value)
+    change = made.ok_value
+    text = f"forgotten in roster epoch {change.revision}"
+    if change.outcome is models.WriteOutcome.UNCHANGED:
+        text = f"was forgotten already; roster epoch {change.revision}"
+    return invocation.show(change, text)
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/requests.py
@@ -0,0 +1,47 @@
+"""Builds requests from arguments, checked before anything is sent."""
+
+from typing import TypeVar
+
+import pydantic
+import result
+from sassafras_wire.administration import models
+
+from sassafras_cli import client as clients
+from sassafras_cli import exit_codes
+
+R = TypeVar("R", bound=models.Request)
+
+
+def build(
+    model: type[R], **content: object
+) -> result.Result[R, clients.Failure]:
+    """Returns a request, or every fault of the arguments."""
+    try:
+        return result.Ok(model.model_validate(content))
+    except pydantic.ValidationError as error:
+        faults = tuple(
+            models.FaultModel(
+                section="arguments",
+                key=".".join(str(part) for part in fault["loc"]),
+                given=str(fault["input"]),
+                allowed=fault["msg"],
+            )
+            for fault in error.errors()
+        )
+        return result.Err(usage("the arguments are not valid", faults))
+
+
+def usage(
+    problem: str, faults: tuple[models.FaultModel, ...] = ()
+) -> clients.Failure:
+    """Returns the failure of a command that was not used as it should be."""
+    return clients.Failure(
+        exit_codes.ExitCode.USAGE,
+        models.Problem(
+            step="cli.usage",
+            peer="local",
+            problem=problem,
+            advice="nothing was sent",
+            faults=faults,
+        ),
+    )
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
@@ -0,0 +1,143 @@
+"""Commands for targets."""
+
+import result
+from sassafras_wire.administration import models
+import trio
+
+from sassafras_cli import exit_codes
+from sassafras_cli import registry
+from sassafras_cli import tables
+from sassafras_cli.commands import configuration
+from sassafras_cli.commands import requests
+
+_POLL_S = 0.5
+
+
+class StopAnswer(models.Answer):
+    """A stopped target and how far it has drained."""
+
+    change: models.Change
+    drain: models.Drain | None = None
+
+
+@registry.command(
+    "targets-list",
+    example="sassafras targets-list --node=10.0.0.7:7404"
+    " --credential_file=credential",
+)
+async def list_targets(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Lists the targets that have announced themselves."""
+    got = await invocation.node.get("/targets", models.Targets)
+    if isinstance(got, result.Err):
+        return invocation.fail(got.err_value)
+    table = tables.render(
+        ("SERVICE", "TARGET", "STATE", "STOPPED", "SLOTS", "ZONE", "NODE"),
+        [
+            (
+                target.service,
+                target.address,
+                target.state,
+                target.stopped,
+                target.slots,
+                target.availability_zone,
+                target.node_id,
+            )
+            for target in got.ok_value.targets
+        ],
+    )
+    return invocation.show(got.ok_value, table)
+
+
+@registry.command(
+    "targets-start",
+    "TARGET",
+    flags=("note",),
+    example="sassafras targets-start 10.0.0.7:8000 --node=10.0.0.7:7404"
+    " --credential_file=credential",
+)
+async def start(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Gives a stopped target new work again."""
+    (address,) = invocation.arguments
+    request = requests.build(
+        models.TargetRequest, address=address, note=invocation.options.note
+    )
+    if isinstance(request, result.Err):
+        return invocation.fail(request.err_value)
+    made = await invocation.node.change(
+        "/targets/start", request.ok_value, models.Change
+    )
+    return configuration.report(invocation, made)
+
+
+@registry.command(
+    "targets-stop",
+    "TARGET",
+    flags=("note", "wait_s"),
+    example="sassafras targets-stop 10.0.0.7:8000 --wait_s=120"
+    " --node=10.0.0.7:7404 --credential_file=credential",
+)
+async def stop(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Gives a target no more new work and waits until it has drained."""
+    (address,) = invocation.arguments
+    request = requests.build(
+        models.TargetRequest, address=address, note=invocation.options.note
+    )
+    if isinstance(request, result.Err):
+        return invocation.fail(request.err_value)
+    made = await invocation.node.change(
+        "/targets/stop", request.ok_value, models.Change
+    )
+    if isinstance(made, result.Err):
+        return invocation.fail(made.err_value)
+    if not invocation.options.json:
+        configuration.report(invocation, made)
+    drain = await _wait_until_drained(invocation, address)
+    is_drained = drain is not None and drain.drained
+    if invocation.options.json:
+        invocation.show(StopAnswer(change=made.ok_value, drain=drain), "")
+    elif not is_drained:
+        print(
+            f"{address} has not drained after {invocation.options.wait_s:g} s;"
+            " it stays stopped, and its calls go on. Run the command again to"
+            " wait longer.",
+            file=invocation.error_out,
+        )
+    if is_drained:
+        return exit_codes.ExitCode.DONE
+    return exit_codes.ExitCode.FAILED
+
+
+async def _wait_until_drained(
+    invocation: registry.Invocation, address: str
+) -> models.Drain | None:
+    """Shows progress until the target has drained or the wait is over."""
+    drain: models.Drain | None = None
+    shown = ""
+    with trio.move_on_after(invocation.options.wait_s):
+        while True:
+            got = await invocation.node.get(
+                "/targets/drain", models.Drain, {"address": address}
+            )
+            if isinstance(got, result.Ok):
+                drain = got.ok_value
+                line = _describe(drain)
+            else:
+                line = f"{address}: {got.err_value.problem.problem}"
+            if line != shown and not invocation.options.json:
+                print(line, file=invocation.out, flush=True)
+            shown = line
+            if drain is not None and drain.drained:
+                break
+            await trio.sleep(_POLL_S)
+    return drain
+
+
+def _describe(drain: models.Drain) -> str:
+    if drain.drained:
+        return f"{drain.address}: {drain.state}, drained"
+    if drain.calls_in_flight is None:
+        return f"{drain.address}: {drain.state}, calls in flight not known"
+    return (
+        f"{drain.address}: {drain.state}, {drain.calls_in_flight} calls in"
+        " flight"
+    )
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/options.py
@@ -0,0 +1,142 @@
+"""The flags of the command line."""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+from absl import flags
+import result
+
+# Flags that every command takes.
+COMMON = ("help", "json")
+# Flags of the commands that use a node.
+NODE = ("node", "credential_file", "timeout_s")
+
+_DEFAULT_TIMEOUT_S = 60.0
+_DEFAULT_WAIT_S = 600.0
+_DEFAULT_LIMIT = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """The values of the flags.
+
+    Attributes:
+      help: Whether help is wanted instead.
+      json: Whether the output is JSON instead of tables.
+      node: Administration address of any node.
+      credential_file: File with the operator's credential.
+      timeout_s: How long to wait for an answer. A node follows a lost answer
+        of the store up for 20 s.
+      expected_revision: Revision that a change is made from.
+      note: What the operator says about a change.
+      limit: How many audit records are wanted.
+      wait_s: How long to wait for a target to drain.
+    """
+
+    help: bool = False
+    json: bool = False
+    node: str | None = None
+    credential_file: str | None = None
+    timeout_s: float = _DEFAULT_TIMEOUT_S
+    expected_revision: int | None = None
+    note: str = ""
+    limit: int = _DEFAULT_LIMIT
+    wait_s: float = _DEFAULT_WAIT_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parsed:
+    """A command line, taken apart.
+
+    Attributes:
+      options: The values of the flags.
+      given: Names of the flags that were given.
+      arguments: Everything else, the command first.
+    """
+
+    options: Options
+    given: frozenset[str]
+    arguments: tuple[str, ...]
+
+
+def parse(argv: Sequence[str]) -> result.Result[Parsed, str]:
+    """Returns a command line without the program's name, or its fault."""
+    values = _define()
+    try:
+        _, *arguments = values(["sassafras", *argv])
+    except flags.Error as error:
+        return result.Err(str(error))
+    names = [field.name for field in dataclasses.fields(Options)]
+    content: dict[str, Any] = {name: values[name].value for name in names}
+    return result.Ok(
+        Parsed(
+            options=Options(**content),
+            given=frozenset(name for name in names if values[name].present),
+            arguments=tuple(arguments),
+        )
+    )
+
+
+def describe(names: Sequence[str]) -> list[tuple[str, str]]:
+    """Returns flags and their meaning, for help."""
+    values = _define()
+    return [(f"--{name}", values[name].help) for name in names]
+
+
+def _define() -> flags.FlagValues:
+    # Not the library's global flags, so that a command can run twice in one
+    # process.
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)
+    flags.DEFINE_boolean(
+        "help", False, "Show help and do nothing.", flag_values=values
+    )
+    flags.DEFINE_boolean(
+        "json", False, "Print JSON instead of tables.", flag_values=values
+    )
+    flags.DEFINE_string(
+        "node",
+        None,
+        "Administration address of any node, host:port.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "credential_file",
+        None,
+        "File with your operator's credential.",
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "timeout_s",
+        _DEFAULT_TIMEOUT_S,
+        "Seconds to wait for an answer.",
+        lower_bound=0.1,
+        flag_values=values,
+    )
+    flags.DEFINE_integer(
+        "expected_revision",
+        None,
+        "Revision that the change is made from, as plan shows it.",
+        lower_bound=0,
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "note", "", "What to record about the change.", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "limit",
+        _DEFAULT_LIMIT,
+        "How many of the newest audit records to show.",
+        lower_bound=1,
+        upper_bound=1000,
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "wait_s",
+        _DEFAULT_WAIT_S,
+        "Seconds to wait until the target has drained.",
+        lower_bound=0.0,
+        flag_values=values,
+    )
+    return values
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/registry.py
@@ -0,0 +1,134 @@
+"""The registry of commands, filled by decorators."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+from typing import TextIO
+
+from sassafras_base import registry
+from sassafras_wire.administration import models
+
+from sassafras_cli import client as clients
+from sassafras_cli import exit_codes
+from sassafras_cli import options
+from sassafras_cli import tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Invocation:
+    """One run of a command.
+
+    Attributes:
+      options: The values of the flags.
+      arguments: The command's arguments.
+      out: Where results go.
+      error_out: Where problems go.
+      client: Client of the node; None for commands that use none.
+    """
+
+    options: options.Options
+    arguments: tuple[str, ...]
+    out: TextIO
+    error_out: TextIO
+    client: clients.AdminClient | None
+
+    @property
+    def node(self) -> clients.AdminClient:
+        """The client of a command that uses a node."""
+        assert self.client is not None
+        return self.client
+
+    def show(self, answer: models.Answer, text: str) -> exit_codes.ExitCode:
+        """Prints a result as JSON or as text."""
+        if self.options.json:
+            text = answer.model_dump_json(indent=2, exclude_none=True)
+        print(text, file=self.out)
+        return exit_codes.ExitCode.DONE
+
+    def fail(self, failure: clients.Failure) -> exit_codes.ExitCode:
+        """Prints a problem; as JSON it goes where results go."""
+        problem = failure.problem
+        if self.options.json:
+            text = problem.model_dump_json(indent=2, exclude_none=True)
+            print(text, file=self.out)
+            return failure.exit_code
+        lines = [f"{problem.step} [{problem.peer}]: {problem.problem}"]
+        if problem.faults:
+            lines.append(tables.faults(problem.faults))
+        if problem.differences:
+            lines.append(tables.differences(problem.differences))
+        if problem.advice:
+            lines.append(f"advice: {problem.advice}")
+        print("\n".join(lines), file=self.error_out)
+        return failure.exit_code
+
+
+Run = Callable[[Invocation], Awaitable[exit_codes.ExitCode]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """A command of the command line.
+
+    Attributes:
+      name: Its name.
+      arguments: Names of its arguments; one in brackets may be left out.
+      flags: Names of the flags that it takes beside the common ones.
+      summary: What it does, in one line.
+      example: How it is used.
+      uses_node: Whether it needs a node.
+      run: Carries it out.
+    """
+
+    name: str
+    arguments: tuple[str, ...]
+    flags: tuple[str, ...]
+    summary: str
+    example: str
+    uses_node: bool
+    run: Run
+
+    @property
+    def all_flags(self) -> tuple[str, ...]:
+        """Every flag that the command takes."""
+        node = options.NODE if self.uses_node else ()
+        return (*node, *self.flags, *options.COMMON)
+
+    @property
+    def usage(self) -> str:
+        """How the command is called."""
+        return " ".join(["sassafras", self.name, *self.arguments])
+
+    def accepts(self, arguments: tuple[str, ...]) -> bool:
+        """Returns whether the number of arguments is right."""
+        needed = [a for a in self.arguments if not a.startswith("[")]
+        return len(needed) <= len(arguments) <= len(self.arguments)
+
+
+commands: registry.Registry[Command] = registry.Registry("command")
+
+
+def command(
+    name: str,
+    arguments: str = "",
+    *,
+    flags: tuple[str, ...] = (),
+    example: str,
+    uses_node: bool = True,
+) -> Callable[[Run], Run]:
+    """Registers the decorated function; its docstring is the summary."""
+
+    def decorate(run: Run) -> Run:
+        entry = Command(
+            name=name,
+            arguments=tuple(arguments.split()),
+            flags=flags,
+            summary=" ".join((run.__doc__ or "").split("\n\n")[0].split()),
+            example=example,
+            uses_node=uses_node,
+            run=run,
+        )
+        commands.register(name)(entry)
+        return run
+
+    return decorate
--- a/packages/sassafras-node/src/sassafras_node/admin/session.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/session.py
@@ -9,6 +9,7 @@
 from sassafras_base import events
 from sassafras_policy.calls import messages
 from sassafras_wire.administration import models
+from sassafras_wire.http import server as http_server
 from sassafras_wire.settings import operators
 import trio
 
@@ -39,7 +40,17 @@
     async def handle(request: messages.Request) -> messages.Answer:
         return replies.encode(await _answer(runtime, known, request, peer))
 
-    await http_session.serve(runtime, stream, peer, handle)
+    await http_session.serve(runtime, stream, peer, handle, _refusal_as_json)
+
+
+def _refusal_as_json(
+    error: http_server.RequestRefusedError,
+) -> messages.Answer:
+    return replies.encode(
+        replies.refuse(
+            error.status, error.step, error.peer, error.problem, error.advice
+        )
+    )
 
 
 async def _answer(
--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -11,6 +11,14 @@
 from sassafras_node import runtime as runtimes
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
+RefusalForm = Callable[[http_server.RequestRefusedError], messages.Answer]
+
+
+def refusal_as_text(error: http_server.RequestRefusedError) -> messages.Answer:
+    """Returns the answer to a request that breaks HTTP/1.1 or a limit."""
+    return messages.refusal(
+        outcomes.Reason.BAD_REQUEST, error.status, error.problem
+    )
 
 
 async def serve(
@@ -18,6 +26,7 @@
     stream: trio.SocketStream,
     peer: str,
     handler: Handler,
+    refusal_form: RefusalForm = refusal_as_text,
 ) -> None:
     """Answers the requests of a connection, one after another."""
     connection = http_server.ServerConnection(stream, peer, runtime.http_limits)
@@ -27,7 +36,7 @@
             while await _serve_next(runtime, connection, handler):
                 pass
         except http_server.RequestRefusedError as error:
-            await _refuse(connection, error)
+            await _refuse(connection, refusal_form(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         nursery.cancel_scope.cancel()
@@ -58,12 +67,8 @@
 
 
 async def _refuse(
-    connection: http_server.ServerConnection,
-    error: http_server.RequestRefusedError,
+    connection: http_server.ServerConnection, answer: messages.Answer
 ) -> None:
-    answer = messages.refusal(
-        outcomes.Reason.BAD_REQUEST, error.status, error.problem
-    )
     try:
         await connection.send(answer)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -250,6 +250,7 @@
     ("GET", "/targets/drain", None, 400, "address"),
     ("GET", "/audit?limit=0", None, 400, "limit"),
     ("GET", "/audit?limit=1001", None, 400, "limit"),
+    ("POST", "/keys/grant", b" " * 1_100_000, 413, "over 1048576 bytes"),
 ]
 
 
--- /dev/null
+++ b/tests/contract/test_command_line.py
@@ -0,0 +1,468 @@
+"""The command line: each command, its exit codes and what it sends."""
+
+import io
+import json
+import pathlib
+
+from common import administration
+from common import waiting
+import pytest
+from sassafras_cli import exit_codes
+from sassafras_cli import help_text
+from sassafras_cli import main
+from sassafras_cli import registry
+from sassafras_standins.fleet import launcher
+from sassafras_standins.store import faults
+import trio
+
+pytestmark = pytest.mark.loopback
+
+TARGET = "127.0.0.1:9999"
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+COMMANDS = {
+    "apply",
+    "audit",
+    "check",
+    "history",
+    "keys-grant",
+    "keys-list",
+    "keys-withdraw",
+    "nodes",
+    "nodes-forget",
+    "plan",
+    "rollforward",
+    "show",
+    "status",
+    "targets-list",
+    "targets-start",
+    "targets-stop",
+}
+
+
+class Outcome:
+    """How a command ended and what it printed."""
+
+    def __init__(self, code, out, error_out):
+        self.code = int(code)
+        self.out = out.getvalue()
+        self.error_out = error_out.getvalue()
+
+    @property
+    def json(self):
+        return json.loads(self.out)
+
+    @property
+    def text(self):
+        return self.out + self.error_out
+
+
+async def sassafras(*argv):
+    out, error_out = io.StringIO(), io.StringIO()
+    code = await main.execute([str(a) for a in argv], out, error_out)
+    return Outcome(code, out, error_out)
+
+
+class Operator:
+    """Runs commands against one node with one credential."""
+
+    def __init__(self, site, credential=administration.CHANGER):
+        self.site = site
+        self._file = site.folder / f"{credential}.credential"
+        self._file.write_text(credential + "\n")
+
+    async def run(self, *argv):
+        return await sassafras(
+            *argv,
+            f"--node={self.site.address}",
+            f"--credential_file={self._file}",
+        )
+
+    def file(self, text, name="harbour.ini"):
+        path = self.site.folder / name
+        path.write_text(text)
+        return path
+
+
+async def prepared(site):
+    """Returns an operator at a node with a configuration and a target."""
+    operator = Operator(site)
+    path = operator.file(administration.QUESTIONNAIRE)
+    applied = await operator.run("apply", path, "--expected_revision=0")
+    assert applied.code == 0, applied.text
+    await site.announce(TARGET)
+    return operator
+
+
+def test_the_list_of_commands_is_complete():
+    """Guards against a command that no contract test covers."""
+    assert main.COMMAND_MODULES
+    assert set(registry.commands.names) == COMMANDS
+
+
+@pytest.mark.parametrize("name", sorted(COMMANDS))
+def test_help_shows_an_example_that_the_command_accepts(name):
+    """Guards against examples that do not work."""
+    command = registry.commands.get(name)
+    text = help_text.of_command(command)
+    assert f"  {command.example}" in text
+    words = command.example.split(" > ")[0].split()
+    assert words[:2] == ["sassafras", name]
+    for word in words:
+        if word.startswith("--"):
+            flag = word.removeprefix("--").split("=")[0]
+            assert flag in command.all_flags
+    for flag in command.all_flags:
+        assert f"--{flag}" in text
+
+
+async def test_help_lists_commands_and_exit_codes():
+    """Guards against exit codes that scripts cannot look up."""
+    for argv in ([], ["help"], ["--help"]):
+        outcome = await sassafras(*argv)
+        assert outcome.code == 0
+        for name in COMMANDS:
+            assert f"sassafras {name}" in outcome.out
+        for code in exit_codes.ExitCode:
+            assert f"  {int(code)}  " in outcome.out
+    for argv in (["help", "plan"], ["plan", "--help"]):
+        assert "usage: sassafras plan FILE" in (await sassafras(*argv)).out
+
+
+# Each row: the command line, and a text in what is printed.
+USAGE_FAULTS = [
+    (["fly"], "no command 'fly'"),
+    (["help", "fly"], "no command 'fly'"),
+    (["check"], "usage: sassafras check FILE"),
+    (["check", "a", "b"], "got 2 argument(s)"),
+    (["check", "a.ini", "--colour=red"], "colour"),
+    (["check", "a.ini", "--limit=3"], "does not take --limit"),
+    (["check", "missing.ini"], "cannot be read"),
+    (["audit", "--limit=many"], "limit"),
+    (["audit", "--limit=0"], "limit"),
+    (["status"], "--node is missing"),
+    (["status", "--node=here"], "not host:port"),
+    (["status", "--node=10.0.0.7:99999"], "not host:port"),
+    (["status", "--node=127.0.0.1:1"], "--credential_file is missing"),
+    (
+        ["status", "--node=127.0.0.1:1", "--credential_file=missing"],
+        "cannot be read",
+    ),
+]
+
+
+@pytest.mark.parametrize(("argv", "text"), USAGE_FAULTS)
+async def test_faults_of_usage_end_with_2(argv, text):
+    """Guards against scripts that take a typing error for a refusal."""
+    outcome = await sassafras(*argv)
+    assert outcome.code == 2
+    assert text in outcome.error_out
+    assert outcome.out == ""
+
+
+@pytest.mark.parametrize("name", ["athens", "mauritius"])
+async def test_check_needs_no_node(name):
+    """Guards against a first questionnaire that cannot be checked alone."""
+    outcome = await sassafras("check", EXAMPLES / f"{name}.ini")
+    assert outcome.code == 0
+    assert "no faults; 4 services, 8 organisations" in outcome.out
+
+
+async def test_check_shows_every_fault(tmp_path):
+    """Guards against faults that are found one run at a time."""
+    path = tmp_path / "faulty.ini"
+    path.write_text(administration.FAULTY)
+    outcome = await sassafras("check", path)
+    assert outcome.code == 2
+    for text in ("rate_per_s", "a number above 0", "lodgement, status"):
+        assert text in outcome.error_out
+    as_json = await sassafras("check", path, "--json")
+    assert as_json.code == 2
+    assert [f["key"] for f in as_json.json["faults"]] == ["rate_per_s", "class"]
+
+
+async def test_plan_and_apply_a_revised_questionnaire(tmp_path):
+    """Guards against a first path that does not lead to a configuration."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        path = operator.file(administration.REVISED)
+        planned = await operator.run("plan", path)
+        assert planned.code == 0
+        assert "rate_per_s     100    200" in planned.out
+        assert "--expected_revision=1" in planned.out
+        applied = await operator.run(
+            "apply", path, "--expected_revision=1", "--note=more", "--json"
+        )
+        assert applied.code == 0
+        assert applied.json["revision"] == 2
+        assert (await operator.run("plan", path, "--json")).json == {
+            "revision": 2,
+            "differences": [],
+        }
+        again = await operator.run("apply", path, "--expected_revision=1")
+        assert (again.code, "already as asked" in again.out) == (0, True)
+
+
+async def test_a_document_from_show_can_be_applied(tmp_path):
+    """Guards against JSON output that cannot be used as input."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        shown = await operator.run("show", "--json")
+        document = shown.json
+        document["retry_limit"] = 1
+        path = operator.file(json.dumps(document), "document.json")
+        assert (await sassafras("check", path)).code == 0
+        applied = await operator.run("apply", path, "--expected_revision=1")
+        assert applied.code == 0, applied.text
+        assert "retry_limit" in applied.out
+        history = await operator.run("history", "2")
+        assert '"retry_limit": 1' in history.out
+
+
+async def test_a_conflict_ends_with_3_and_shows_the_difference(tmp_path):
+    """Guards against a script that repeats a change over another one."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        path = operator.file(administration.REVISED)
+        await operator.run("apply", path, "--expected_revision=1")
+        late = operator.file(administration.QUESTIONNAIRE, "late.ini")
+        outcome = await operator.run("apply", late, "--expected_revision=1")
+        assert outcome.code == 3
+        assert "revision 2 is stored" in outcome.error_out
+        assert "rate_per_s     200    100" in outcome.error_out
+        rolled = await operator.run(
+            "rollforward", "1", "--expected_revision=1", "--json"
+        )
+        assert (rolled.code, rolled.json["revision"]) == (3, 2)
+        assert site.runtime.configuration.revision == 2
+
+
+async def test_rollforward_makes_an_earlier_content_the_newest(tmp_path):
+    """Guards against a way back that lowers the revision."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        path = operator.file(administration.REVISED)
+        await operator.run("apply", path, "--expected_revision=1", "--note=up")
+        rolled = await operator.run("rollforward", 1, "--expected_revision=2")
+        assert rolled.code == 0
+        assert "written as revision 3" in rolled.out
+        listed = await operator.run("history")
+        assert [line.split()[0] for line in listed.out.splitlines()] == [
+            "REVISION",
+            "3",
+            "2",
+            "1",
+        ]
+
+
+# Each row: the command line, the exit code, and a text in what is printed.
+REFUSED = [
+    (["apply", "FILE"], 2, "--expected_revision is missing"),
+    (["rollforward", "1"], 2, "--expected_revision is missing"),
+    (["rollforward", "x", "--expected_revision=1"], 2, "1 or more"),
+    (["rollforward", "9", "--expected_revision=1"], 1, "no content"),
+    (["history", "9"], 1, "no content"),
+    (["history", "x"], 2, "revision"),
+    (["keys-grant", "nobody", "main"], 1, "no organisation"),
+    (["keys-grant", "cooperative", "a b"], 2, "label"),
+    (["keys-withdraw", "cooperative", "main"], 1, "no key"),
+    (["targets-stop", "somewhere"], 2, "host:port"),
+    (["targets-stop", "10.0.0.1:5"], 1, "no target"),
+    (["targets-start", "10.0.0.1:5"], 1, "no target"),
+    (["nodes-forget", "somewhere"], 2, "host:port"),
+    (["nodes-forget", "10.0.0.1:5"], 1, "no node"),
+]
+
+
+async def test_refused_commands_say_why_and_change_nothing(tmp_path):
+    """Guards against wrong exit codes and bad input that has an effect."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        path = operator.file(administration.REVISED)
+        config = site.stored("/sassafras/config")
+        for words, code, text in REFUSED:
+            argv = [path if word == "FILE" else word for word in words]
+            outcome = await operator.run(*argv)
+            assert (outcome.code, outcome.out) == (code, ""), outcome.text
+            assert text in outcome.error_out
+            assert "advice: " in outcome.error_out
+            as_json = await operator.run(*argv, "--json")
+            assert (as_json.code, as_json.error_out) == (code, "")
+            assert text in as_json.out
+        assert site.stored("/sassafras/config") == config
+
+
+async def test_a_reader_can_read_and_not_change(tmp_path):
+    """Guards against a role that a command gets around."""
+    async with administration.site(tmp_path) as site:
+        await prepared(site)
+        reader = Operator(site, administration.READER)
+        path = reader.file(administration.REVISED)
+        assert (await reader.run("plan", path)).code == 0
+        outcome = await reader.run("apply", path, "--expected_revision=1")
+        assert outcome.code == 1
+        assert "change is needed" in outcome.error_out
+        stranger = Operator(site, "guess")
+        assert (await stranger.run("status")).code == 1
+
+
+async def test_a_key_is_granted_listed_and_withdrawn(tmp_path):
+    """Guards against a key that is printed more than once."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        granted = await operator.run(
+            "keys-grant", "cooperative", "main", "--json"
+        )
+        key = granted.json["key"]
+        index = site.runtime.configuration.index
+        assert index.find_organisation(key).name == "cooperative"
+        listed = await operator.run("keys-list")
+        assert "cooperative   main" in listed.out
+        assert key not in listed.out
+        withdrawn = await operator.run("keys-withdraw", "cooperative", "main")
+        assert withdrawn.code == 0
+        assert "key cooperative/main" in withdrawn.out
+        shown = await operator.run("keys-grant", "cooperative", "other")
+        assert "The key is not shown again" in shown.out
+
+
+async def test_targets_stop_shows_progress_until_the_target_has_drained(
+    tmp_path,
+):
+    """Guards against a stop that ends while calls are still running."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        token = site.runtime.contexts.open(None)
+        outcomes = []
+
+        async def stop():
+            outcomes.append(await operator.run("targets-stop", TARGET))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+
+            async def leaving():
+                return site.runtime.table.own.target_state == "leaving"
+
+            await waiting.until(leaving, "the target is leaving")
+            assert outcomes == []
+            site.runtime.contexts.close(token)
+        (outcome,) = outcomes
+        assert outcome.code == 0
+        assert "1 calls in flight" in outcome.out
+        assert outcome.out.rstrip().endswith(f"{TARGET}: leaving, drained")
+        listed = await operator.run("targets-list")
+        assert "leaving  yes" in listed.out
+        started = await operator.run("targets-start", TARGET)
+        assert started.code == 0
+
+
+async def test_targets_stop_says_when_it_did_not_wait_long_enough(tmp_path):
+    """Guards against a drain that is reported as complete too early."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        token = site.runtime.contexts.open(None)
+        outcome = await operator.run("targets-stop", TARGET, "--wait_s=0.2")
+        assert outcome.code == 1
+        assert "it stays stopped" in outcome.error_out
+        as_json = await operator.run(
+            "targets-stop", TARGET, "--wait_s=0.2", "--json"
+        )
+        assert as_json.code == 1
+        assert as_json.json["change"]["outcome"] == "unchanged"
+        assert as_json.json["drain"]["drained"] is False
+        site.runtime.contexts.close(token)
+
+
+async def test_nodes_status_and_audit_show_what_there_is(tmp_path):
+    """Guards against tables that lose a column."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        nodes = await operator.run("nodes")
+        assert site.runtime.table.own_id in nodes.out
+        assert "alive" in nodes.out
+        status = await operator.run("status")
+        assert TARGET in status.out
+        assert "national-bank" in status.out
+        audit = await operator.run("audit", "--limit=5")
+        row = audit.out.splitlines()[1].split()
+        assert row == [
+            "1",
+            "2025-06-15T15:06:40Z",
+            "carl",
+            "apply",
+            "configuration",
+            "written",
+            "1",
+            "-",
+        ]
+
+
+async def test_without_a_node_or_a_store_a_change_ends_with_1(tmp_path):
+    """Guards against a change that seems done although nothing was stored."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        site.store.faults.mode = faults.Mode.DOWN
+        outcome = await operator.run("keys-grant", "cooperative", "main")
+        assert outcome.code == 1
+        assert "not stored" in outcome.error_out
+    outcome = await operator.run("keys-grant", "cooperative", "main")
+    assert outcome.code == 1
+    assert "nothing was sent" in outcome.error_out
+
+
+async def _closes(stream):
+    """Reads a request and closes the connection without an answer."""
+    await stream.receive_some(65536)
+    await stream.aclose()
+
+
+async def _is_silent(stream):
+    """Reads a request and never answers."""
+    await stream.receive_some(65536)
+    await trio.sleep_forever()
+
+
+async def _talks_nonsense(stream):
+    """Answers with what is no answer of the API."""
+    await stream.receive_some(65536)
+    await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]")
+
+
+async def _is_another_server(stream):
+    """Answers like a server that is no node."""
+    await stream.receive_some(65536)
+    await stream.send_all(
+        b"HTTP/1.1 404 Not Found\r\ncontent-length: 4\r\n\r\nnope"
+    )
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "change_code", "read_code"),
+    [
+        (_closes, 4, 1),
+        (_is_silent, 4, 1),
+        (_talks_nonsense, 4, 1),
+        (_is_another_server, 1, 1),
+    ],
+)
+async def test_a_change_without_an_answer_ends_with_4(
+    tmp_path, behaviour, change_code, read_code
+):
+    """Guards against a lost answer that is taken for a refusal."""
+    address = launcher.free_address()
+    host, port = address.split(":")
+    credential = tmp_path / "credential"
+    credential.write_text("any")
+    flags = [
+        f"--node={address}",
+        f"--credential_file={credential}",
+        "--timeout_s=0.3",
+    ]
+    listeners = await trio.open_tcp_listeners(int(port), host=host)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, behaviour, listeners)
+        change = await sassafras("keys-withdraw", "bank", "main", *flags)
+        read = await sassafras("keys-list", *flags)
+        nursery.cancel_scope.cancel()
+    assert (change.code, read.code) == (change_code, read_code)
+    assert ("outcome unknown" in change.error_out) == (change_code == 4)
