--- a/packages/sassafras-cli/src/sassafras_cli/main.py
+++ b/packages/sassafras-cli/src/sassafras_cli/main.py
@@ -79,7 +79,8 @@
 
 
 def _find_fault(command: registry.Command, line: options.Parsed) -> str:
-    surplus = sorted(line.given - set(command.all_flags))
+    # Scripts may give the flags of the node to every command.
+    surplus = sorted(line.given - {*command.all_flags, *options.NODE})
     if surplus:
         return f"{command.name} does not take --{surplus[0]}"
     if not command.accepts(line.arguments[1:]):
--- a/packages/sassafras-cli/src/sassafras_cli/options.py
+++ b/packages/sassafras-cli/src/sassafras_cli/options.py
@@ -117,7 +117,8 @@
     flags.DEFINE_integer(
         "expected_revision",
         None,
-        "Revision that the change is made from, as plan shows it.",
+        "Revision that the change is made from, as plan shows it; needed"
+        " unless there is no configuration yet.",
         lower_bound=0,
         flag_values=values,
     )
--- a/packages/sassafras-cli/src/sassafras_cli/tables.py
+++ b/packages/sassafras-cli/src/sassafras_cli/tables.py
@@ -7,6 +7,7 @@
 from sassafras_wire.administration import models
 
 _GAP = "  "
+_ABSENT = "-"
 
 
 def render(head: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
@@ -15,8 +16,7 @@
     lines = [list(head), *cells]
     widths = [max(len(line[i]) for line in lines) for i in range(len(head))]
     numeric = [
-        bool(cells) and all(_is_number(row[i]) for row in cells)
-        for i in range(len(head))
+        _is_numeric([row[index] for row in cells]) for index in range(len(head))
     ]
     return "\n".join(
         _GAP.join(
@@ -53,7 +53,7 @@
 
 def _show(value: object) -> str:
     if value is None or value == "":
-        return "-"
+        return _ABSENT
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
@@ -61,5 +61,8 @@
     return str(value)
 
 
-def _is_number(text: str) -> bool:
-    return text == "-" or text.replace(".", "", 1).isdigit()
+def _is_numeric(column: Sequence[str]) -> bool:
+    values = [text for text in column if text != _ABSENT]
+    return bool(values) and all(
+        text.replace(".", "", 1).isdigit() for text in values
+    )
