--- a/packages/sassafras-node/src/sassafras_node/admin/replies.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/replies.py
@@ -15,6 +15,7 @@
 NOT_FOUND = 404
 NOT_ALLOWED = 405
 CONFLICT = 409
+REFUSED = 422
 NOT_STORED = 503
 UNKNOWN = 504
 
@@ -72,7 +73,7 @@
 def from_edit(step: str, refused: edits.Refused) -> Refusal:
     """Returns the refusal of a change that the document does not allow."""
     return Refusal(
-        NOT_FOUND if refused.is_missing else BAD_REQUEST,
+        NOT_FOUND if refused.is_missing else REFUSED,
         models.Problem(
             step=step,
             peer="local",
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/nodes.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/nodes.py
@@ -126,7 +126,7 @@
             )
         case roster.Forgotten.IS_ALIVE:
             return replies.refuse(
-                replies.BAD_REQUEST,
+                replies.REFUSED,
                 call.step,
                 node_id,
                 f"node {node_id} is alive",
