--- a/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
@@ -101,17 +101,17 @@
     loaded = contents.load(path)
     if isinstance(loaded, result.Err):
         return invocation.fail(loaded.err_value)
-    content = loaded.ok_value.request
+    request = requests.build(
+        models.ApplyRequest,
+        **dict(loaded.ok_value.request),
+        # Without the flag there must be no configuration yet.
+        expected_revision=invocation.options.expected_revision or 0,
+        note=invocation.options.note,
+    )
+    if isinstance(request, result.Err):
+        return invocation.fail(request.err_value)
     made = await invocation.node.change(
-        "/configuration/apply",
-        models.ApplyRequest(
-            questionnaire=content.questionnaire,
-            document=content.document,
-            # Without the flag there must be no configuration yet.
-            expected_revision=invocation.options.expected_revision or 0,
-            note=invocation.options.note,
-        ),
-        models.Change,
+        "/configuration/apply", request.ok_value, models.Change
     )
     return report(invocation, made)
 
@@ -160,18 +160,16 @@
                 " newest one"
             )
         )
-    if not revision.isdigit() or int(revision) == 0 or expected == 0:
-        return invocation.fail(
-            requests.usage("REVISION and --expected_revision must be 1 or more")
-        )
+    request = requests.build(
+        models.RollForwardRequest,
+        revision=revision,
+        expected_revision=expected,
+        note=invocation.options.note,
+    )
+    if isinstance(request, result.Err):
+        return invocation.fail(request.err_value)
     made = await invocation.node.change(
-        "/configuration/rollforward",
-        models.RollForwardRequest(
-            revision=int(revision),
-            expected_revision=expected,
-            note=invocation.options.note,
-        ),
-        models.Change,
+        "/configuration/rollforward", request.ok_value, models.Change
     )
     return report(invocation, made)
 
--- a/packages/sassafras-node/src/sassafras_node/admin/changes.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/changes.py
@@ -111,7 +111,7 @@
             )
         )
     if proposal.expected_revision not in (None, revision):
-        return result.Err(replies.conflict(step, revision, changed))
+        return result.Err(_conflict(proposal, stored))
     new = dataclasses.replace(
         edited.ok_value, author=proposal.operator, note=proposal.note
     )
@@ -129,7 +129,7 @@
     except _STORE_ERRORS as error:
         return result.Err(replies.not_stored(step, str(error)))
     written = await writer.write(runtime, new, revision)
-    made = _report(step, written, new, changed, revision)
+    made = _report(proposal, written, changed, revision)
     outcome, reached = _outcome(made, revision + 1)
     await audit.finish(runtime, record, outcome, reached)
     operator_change(
@@ -143,13 +143,13 @@
 
 
 def _report(
-    step: str,
+    proposal: Proposal,
     written: configuration_writer.WriteResult,
-    new: documents.Document,
     changed: tuple[differences.Difference, ...],
     revision: int,
 ) -> result.Result[models.Change, replies.Refusal]:
     """Returns what the operator is told about a write."""
+    step = proposal.step
     if isinstance(written, result.Ok):
         return result.Ok(
             models.Change(
@@ -160,13 +160,7 @@
         )
     match written.err_value:
         case configuration_writer.Conflict(document=newer):
-            return result.Err(
-                replies.conflict(
-                    step,
-                    newer.revision if newer else 0,
-                    differences.compare(newer, new),
-                )
-            )
+            return result.Err(_conflict(proposal, newer))
         case configuration_writer.Invalid(faults=faults):
             return replies.invalid(
                 step,
@@ -182,6 +176,18 @@
             return result.Err(replies.unknown(step, revision + 1, problem))
 
 
+def _conflict(
+    proposal: Proposal, newer: documents.Document | None
+) -> replies.Refusal:
+    """Returns the refusal with what the change would alter in the newer one."""
+    edited = proposal.edit(newer)
+    found: tuple[differences.Difference, ...] = ()
+    if isinstance(edited, result.Ok):
+        found = differences.compare(newer, edited.ok_value)
+    revision = newer.revision if newer else 0
+    return replies.conflict(proposal.step, revision, found)
+
+
 def _outcome(
     made: result.Result[models.Change, replies.Refusal], revision: int
 ) -> tuple[models.WriteOutcome, int]:
--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -258,7 +258,10 @@
 REFUSED = [
     (["apply", "FILE"], 3, "revision 2 is stored"),
     (["rollforward", "1"], 2, "--expected_revision is missing"),
-    (["rollforward", "x", "--expected_revision=1"], 2, "1 or more"),
+    (["rollforward", "x", "--expected_revision=1"], 2, "integer"),
+    (["rollforward", "1", "--expected_revision=0"], 2, "greater than 0"),
+    (["apply", "FILE", "--note=" + "n" * 501], 2, "500 characters"),
+    (["targets-stop", TARGET, "--note=" + "n" * 501], 2, "500 characters"),
     (["rollforward", "9", "--expected_revision=1"], 1, "no content"),
     (["history", "9"], 1, "no content"),
     (["history", "x"], 2, "revision"),
