Test a change with the store failing at each of its calls

Cause: Lost answers were tested one at a time; nothing showed that the answer to an operator is true wherever the store fails for good.

Change: A test fails the store at the first to tenth call of a change, with and without that call taking effect, and compares answer, configuration, history and audit record.

Conclusion: 200 always means stored and 503 never does.

--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -5,6 +5,7 @@
 
 from common import administration
 from common import waiting
+import h11
 import pytest
 from sassafras_node.admin import routing
 from sassafras_node.admin import supervisor as admin_supervisor
@@ -738,3 +739,63 @@
         assert outcomes(site)[-1] == ("apply", "unknown")
         # In this case the write did take effect, as the advice allows for.
         assert site.stored(CONFIG_KEY)[CONFIG_KEY]["revision"] == 3
+
+
+@pytest.mark.parametrize("takes_effect", [False, True])
+async def test_an_answer_is_true_wherever_the_store_fails(
+    tmp_path, monkeypatch, takes_effect
+):
+    """Guards against a false report and a change without an audit record.
+
+    The store fails at the first, second, third ... call of a change and stays
+    down. The call at which it fails may still take effect.
+    """
+    writer = configuration_writer.ConfigurationWriter
+    impatient = functools.partialmethod(writer.__init__, resolve_timeout_s=0.6)
+    monkeypatch.setattr(writer, "__init__", impatient)
+    async with administration.site(tmp_path) as site:
+        await prepare(site)
+        carry_out = site.store._call
+        seen = set()
+        for fails_at in range(1, 11):
+            stored = site.stored(CONFIG_KEY)[CONFIG_KEY]
+            calls = 0
+
+            def call(path, body, fails_at=fails_at):
+                nonlocal calls
+                calls += 1
+                if calls < fails_at:
+                    return carry_out(path, body)
+                if calls == fails_at and takes_effect:
+                    carry_out(path, body)
+                raise h11.RemoteProtocolError("the store has failed")
+
+            monkeypatch.setattr(site.store, "_call", call)
+            text = administration.QUESTIONNAIRE.replace(
+                "burst = 20", f"burst = {30 + fails_at}"
+            )
+            answer = await site.apply(
+                text, stored["revision"], note=f"failure {fails_at}"
+            )
+            monkeypatch.setattr(site.store, "_call", carry_out)
+            after = site.stored(CONFIG_KEY)[CONFIG_KEY]
+            is_changed = after["revision"] != stored["revision"]
+            seen.add((answer.status, is_changed))
+            assert answer.status in (200, 503, 504), answer.text
+            assert answer.status != 200 or is_changed
+            assert answer.status != 503 or not is_changed
+            if is_changed:
+                assert after["revision"] == stored["revision"] + 1
+                (record,) = [
+                    record
+                    for record in site.stored(AUDIT).values()
+                    if record["note"] == f"failure {fails_at}"
+                ]
+                assert record["operator"] == "carl"
+                assert record["revision"] == after["revision"]
+                assert record["outcome"] != "not stored"
+                assert str(stored["revision"]) in {
+                    key.removeprefix(HISTORY) for key in site.stored(HISTORY)
+                }
+        assert (503, False) in seen
+        assert {True, False} == {is_changed for _, is_changed in seen}
--- a/tests/contract/test_questionnaire.py
+++ b/tests/contract/test_questionnaire.py
@@ -2,11 +2,13 @@
 
 import itertools
 import pathlib
+import random
 
 import pytest
 import result
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import indexes
+from sassafras_policy.configuration import validity
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.questionnaire import generation
 from sassafras_wire.questionnaire import models
@@ -368,6 +370,44 @@
         assert entry.route == route
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_damaged_text_is_refused_or_generates_a_valid_document(seed):
+    """Guards against input that ends the check with a traceback."""
+    rng = random.Random(seed)
+    lines = (EXAMPLES / "mauritius.ini").read_text().splitlines()
+    for _ in range(20):
+        damaged = list(lines)
+        for _ in range(rng.randint(1, 4)):
+            _damage(damaged, rng)
+        checked = reading.check("\n".join(damaged))
+        if isinstance(checked, result.Ok):
+            document = generation.generate(checked.ok_value)
+            encoded = configuration_models.encode(document)
+            assert configuration_models.decode(encoded, "test") == document
+            assert validity.find_faults(document) == []
+        else:
+            assert all(fault.allowed for fault in checked.err_value)
+
+
+def _damage(lines, rng):
+    at = rng.randrange(len(lines))
+    line = lines[at]
+    cut = rng.randrange(len(line) + 1)
+    odd = rng.choice("\0\t\r;:=[]#%*/\u2028\u00e9")
+    lines[at] = rng.choice(
+        [
+            "",
+            line[:cut],
+            line[:cut] + odd + line[cut:],
+            " " + line,
+            line.upper(),
+            line.replace("=", " "),
+            line + "\n" + rng.choice(lines),
+            line + "0",
+        ]
+    )
+
+
 @pytest.mark.parametrize("name", ["athens", "mauritius"])
 def test_a_question_stands_above_each_key_of_the_examples(name):
     """Guards against keys that a new team has to guess the meaning of."""
