--- a/packages/sassafras-node/src/sassafras_node/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/announcements.py
@@ -66,9 +66,6 @@
         if own.target_state is not records.TargetState.ABSENT:
             runtime.table.update_own(target_state=records.TargetState.ABSENT)
         return
-    index = runtime.configuration.index
-    stopped = index.document.stopped_targets if index else ()
-    runtime.target.is_stopped = announcement.address in stopped
     state = announcement.state
     if runtime.drain.is_draining or runtime.target.is_stopped:
         state = records.TargetState.LEAVING
--- a/packages/sassafras-node/src/sassafras_node/targets/beside.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/beside.py
@@ -16,7 +16,6 @@
     Attributes:
       admission: Decides which calls the target gets.
       pool: Connections to the target.
-      is_stopped: Whether operators have stopped the target.
     """
 
     def __init__(
@@ -27,7 +26,7 @@
         self._announcement: records.Announcement | None = None
         self._heard_at = 0.0
         self._class_count = 1
-        self.is_stopped = False
+        self._stopped: frozenset[str] = frozenset()
         self.admission = self._new_admission(1)
         self.pool = self._new_pool("127.0.0.1:1", 1)
 
@@ -36,6 +35,14 @@
         """The announcement in force, or None."""
         return self._announcement
 
+    @property
+    def is_stopped(self) -> bool:
+        """Whether operators have stopped the target."""
+        return (
+            self._announcement is not None
+            and self._announcement.address in self._stopped
+        )
+
     @property
     def is_serving(self) -> bool:
         """Whether the target takes new calls."""
@@ -62,6 +69,10 @@
             if self._announcement is not None:
                 self.admission = self._new_admission(self._announcement.slots)
 
+    def set_stopped(self, addresses: tuple[str, ...]) -> None:
+        """Takes over the targets that operators have stopped."""
+        self._stopped = frozenset(addresses)
+
     async def announce(self, announcement: records.Announcement) -> None:
         """Takes over an announcement from the target."""
         known = self._announcement
