Serve the burn report and metrics to operators

Cause: the recordings existed but no operator could read them. Change: administration routes for the report and the metrics, the report command, an operators' page.

--- a/packages/sassafras-cli/src/sassafras_cli/client.py
+++ b/packages/sassafras-cli/src/sassafras_cli/client.py
@@ -127,6 +127,13 @@
 ) -> result.Result[A, Failure]:
     if response.status == 200:
         try:
+            if issubclass(answer, models.Page):
+                return result.Ok(
+                    answer(
+                        content_type=dict(response.headers)["content-type"],
+                        content=response.body.decode(),
+                    )
+                )
             return result.Ok(answer.model_validate_json(response.body))
         except pydantic.ValidationError as error:
             return result.Err(
--- a/packages/sassafras-cli/src/sassafras_cli/main.py
+++ b/packages/sassafras-cli/src/sassafras_cli/main.py
@@ -16,11 +16,12 @@
 from sassafras_cli.commands import configuration
 from sassafras_cli.commands import keys
 from sassafras_cli.commands import nodes
+from sassafras_cli.commands import report
 from sassafras_cli.commands import status
 from sassafras_cli.commands import targets
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (configuration, keys, nodes, status, targets)
+COMMAND_MODULES = (configuration, keys, nodes, report, status, targets)
 
 _HELP = "help"
 
--- a/packages/sassafras-cli/src/sassafras_cli/options.py
+++ b/packages/sassafras-cli/src/sassafras_cli/options.py
@@ -32,6 +32,7 @@
       note: What the operator says about a change.
       limit: How many audit records are wanted.
       wait_s: How long to wait for a target to drain.
+      format: Form of the burn report.
     """
 
     help: bool = False
@@ -43,6 +44,7 @@
     note: str = ""
     limit: int = _DEFAULT_LIMIT
     wait_s: float = _DEFAULT_WAIT_S
+    format: str = "text"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,4 +142,11 @@
         lower_bound=0.0,
         flag_values=values,
     )
+    flags.DEFINE_enum(
+        "format",
+        "text",
+        ["text", "html"],
+        "Form of the burn report; --json gives JSON.",
+        flag_values=values,
+    )
     return values
--- a/packages/sassafras-node/src/sassafras_node/admin/replies.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/replies.py
@@ -164,6 +164,13 @@
 def _answer(
     outcome: outcomes.Outcome, status: int, model: models.Answer
 ) -> messages.Answer:
+    if isinstance(model, models.Page):
+        return messages.Answer(
+            outcome=outcome,
+            status=status,
+            headers=(("content-type", model.content_type),),
+            body=model.content.encode(),
+        )
     return messages.Answer(
         outcome=outcome,
         status=status,
--- a/packages/sassafras-node/src/sassafras_node/admin/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/supervisor.py
@@ -18,6 +18,7 @@
 from sassafras_node.admin.routes import health
 from sassafras_node.admin.routes import keys
 from sassafras_node.admin.routes import nodes
+from sassafras_node.admin.routes import reports
 from sassafras_node.admin.routes import status
 from sassafras_node.admin.routes import targets
 
@@ -29,6 +30,7 @@
     keys,
     nodes,
     peer_status,
+    reports,
     status,
     targets,
 )
--- a/packages/sassafras-wire/src/sassafras_wire/administration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/administration/models.py
@@ -129,6 +129,19 @@
     limit: int = pydantic.Field(default=100, ge=1, le=1000)
 
 
+class ReportQuery(Request):
+    """Which form of the burn report is wanted."""
+
+    format: str = "text"
+
+
+class Page(Answer):
+    """An answer that travels as it is and not as JSON."""
+
+    content_type: str
+    content: str
+
+
 class FaultModel(Answer):
     """One fault of the input."""
 
--- a/tests/common/administration.py
+++ b/tests/common/administration.py
@@ -73,7 +73,10 @@
     def __init__(self, response):
         self.status = response.status
         self.text = response.body.decode()
-        self.json = json.loads(response.body)
+
+    @property
+    def json(self):
+        return json.loads(self.text)
 
 
 class Site:
--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -49,6 +49,9 @@
         {"revision": 1, "expected_revision": 1},
         "change",
     ),
+    ("GET", "/report", None, "read"),
+    ("GET", "/report?format=html", None, "read"),
+    ("GET", "/metrics", None, "read"),
     ("GET", "/keys", None, "read"),
     (
         "POST",
--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -30,6 +30,7 @@
     "nodes",
     "nodes-forget",
     "plan",
+    "report",
     "rollforward",
     "show",
     "status",
