--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -11,6 +11,14 @@
 from sassafras_node import runtime as runtimes
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
+RefusalForm = Callable[[http_server.RequestRefusedError], messages.Answer]
+
+
+def refusal_as_text(error: http_server.RequestRefusedError) -> messages.Answer:
+    """Returns the answer to a request that breaks HTTP/1.1 or a limit."""
+    return messages.refusal(
+        outcomes.Reason.BAD_REQUEST, error.status, error.problem
+    )
 
 
 async def serve(
@@ -18,8 +26,13 @@
     stream: trio.SocketStream,
     peer: str,
     handler: Handler,
+    refusal_form: RefusalForm = refusal_as_text,
 ) -> None:
-    """Answers the requests of a connection, one after another."""
+    """Answers the requests of a connection, one after another.
+
+    A request counts as in flight from its first byte on, so that a planned
+    stop waits for a request that is still arriving.
+    """
     connection = http_server.ServerConnection(stream, peer, runtime.http_limits)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(connection.run_reader)
@@ -27,7 +40,7 @@
             while await _serve_next(runtime, connection, handler):
                 pass
         except http_server.RequestRefusedError as error:
-            await _refuse(connection, error)
+            await _refuse(connection, refusal_form(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         nursery.cancel_scope.cancel()
@@ -39,11 +52,13 @@
     handler: Handler,
 ) -> bool:
     """Serves one request; returns False when the connection is done."""
-    request = await connection.receive()
-    if request is None:
+    if not await connection.await_request():
         return False
     runtime.drain.enter()
     try:
+        request = await connection.receive()
+        if request is None:
+            return False
         answer: messages.Answer | None = None
         with trio.CancelScope() as scope:
             connection.cancel_when_gone(scope)
@@ -51,19 +66,15 @@
         connection.cancel_when_gone(None)
         if answer is None:
             return False
-        await connection.send(answer)
+        await connection.send(answer, close=runtime.drain.is_draining)
         return True
     finally:
         runtime.drain.leave()
 
 
 async def _refuse(
-    connection: http_server.ServerConnection,
-    error: http_server.RequestRefusedError,
+    connection: http_server.ServerConnection, answer: messages.Answer
 ) -> None:
-    answer = messages.refusal(
-        outcomes.Reason.BAD_REQUEST, error.status, error.problem
-    )
     try:
         await connection.send(answer)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -80,33 +80,38 @@
         if self._serving is not None:
             self._serving.cancel()
 
-    async def receive(self) -> messages.Request | None:
-        """Returns the next request, or None when the other side is done.
+    async def await_request(self) -> bool:
+        """Waits for the first byte of the next request.
 
-        Raises:
-          RequestRefusedError: The request breaks HTTP/1.1 or a limit.
+        Returns:
+          Whether there is one; False when the other side is done or idle for
+          too long.
         """
         if self._connection.states[h11.SERVER] is h11.DONE:
             if self._connection.states[h11.CLIENT] is not h11.DONE:
-                return None
+                return False
             self._connection.start_next_cycle()
         elif self._connection.states[h11.SERVER] is not h11.IDLE:
-            return None
-        limits = self._limits
-        began = False
-        with trio.CancelScope() as timeout:
-            timeout.deadline = trio.current_time() + limits.idle_timeout_s
-            if not self._connection.trailing_data[0] and not await self._read():
-                return None
-            began = True
-            timeout.deadline = trio.current_time() + limits.request_timeout_s
+            return False
+        if self._connection.trailing_data[0]:
+            return True
+        with trio.move_on_after(self._limits.idle_timeout_s):
+            return await self._read()
+        return False
+
+    async def receive(self) -> messages.Request | None:
+        """Returns the next request, or None when the other side is done.
+
+        Raises:
+          RequestRefusedError: The request breaks HTTP/1.1 or a limit.
+        """
+        with trio.move_on_after(self._limits.request_timeout_s):
             return await self._receive_whole()
-        if not began:
-            return None
         raise RequestRefusedError(
             self.peer,
             408,
-            f"the request was not complete in {limits.request_timeout_s:.0f} s",
+            "the request was not complete within"
+            f" {self._limits.request_timeout_s:.0f} s",
         )
 
     def cancel_when_gone(self, scope: trio.CancelScope | None) -> None:
@@ -115,8 +120,15 @@
         if scope is not None and self._at_end:
             scope.cancel()
 
-    async def send(self, answer: messages.Answer) -> None:
-        """Writes a whole answer in one write."""
+    async def send(
+        self, answer: messages.Answer, *, close: bool = False
+    ) -> None:
+        """Writes a whole answer in one write.
+
+        Args:
+          answer: The answer.
+          close: Tells the other side to send no more on this connection.
+        """
         headers = [
             (name, value)
             for name, value in answer.headers
@@ -130,7 +142,7 @@
             seconds = max(1, math.ceil(answer.retry_after_ms / 1000))
             headers.append((fields.RETRY_AFTER, str(seconds)))
         headers.append(("content-length", str(len(answer.body))))
-        if self._connection.their_state is not h11.DONE:
+        if close or self._connection.their_state is not h11.DONE:
             headers.append(("connection", "close"))
         head = h11.Response(
             status_code=answer.status,
--- a/packages/sassafras-wire/src/sassafras_wire/store/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/client.py
@@ -77,6 +77,27 @@
         )
         return found.kvs
 
+    async def list_keys(self, prefix: str) -> list[str]:
+        """Returns the names of all keys that begin with a prefix."""
+        found = await self._range(
+            {
+                "key": _encode(prefix),
+                "range_end": _encode(_after(prefix)),
+                "keys_only": True,
+            }
+        )
+        return [item.key.decode() for item in found.kvs]
+
+    async def delete(self, key: str) -> None:
+        """Deletes a key; one that does not exist is left so.
+
+        Raises:
+          StoreUnavailableError: No answer came; the key may be deleted.
+        """
+        await self._call(
+            "/v3/kv/deleterange", {"key": _encode(key)}, models.DeleteAnswer
+        )
+
     async def put_if(
         self, key: str, value: bytes, mod_revision: int, lease: int = 0
     ) -> bool:
@@ -92,6 +113,20 @@
         Returns:
           Whether the write took place.
 
+        Raises:
+          StoreUnavailableError: No answer came; the write may have happened.
+        """
+        return await self.swap(key, value, mod_revision, lease) >= 0
+
+    async def swap(
+        self, key: str, value: bytes, mod_revision: int, lease: int = 0
+    ) -> int:
+        """Writes as `put_if` does and returns the key's new revision.
+
+        Returns:
+          The revision, for a further write without a read, or -1 when the
+          write did not take place.
+
         Raises:
           StoreUnavailableError: No answer came; the write may have happened.
         """
@@ -116,7 +151,7 @@
             },
             models.TxnAnswer,
         )
-        return answer.succeeded
+        return answer.header.revision if answer.succeeded else -1
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Returns the id of a new lease."""
