--- a/packages/sassafras-node/src/sassafras_node/calls/contexts.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/contexts.py
@@ -78,7 +78,7 @@
     @property
     def count(self) -> int:
         """How many calls the target runs."""
-        return len(self._calls)
+        return len(self._executions)
 
     def open(self, call: ActiveCall) -> str:
         """Returns a new token for a call."""
--- a/tests/contract/test_cut_points.py
+++ b/tests/contract/test_cut_points.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from common import fake_targets
 from common import call_nodes as nodes
+from common import fake_targets
 import pytest
 from sassafras_base import errors
 from sassafras_node.calls import entry
--- a/tests/contract/test_deadlines.py
+++ b/tests/contract/test_deadlines.py
@@ -1,7 +1,7 @@
 """Outcomes of calls whose deadline passes, and of stale connections."""
 
-from common import fake_targets
 from common import call_nodes as nodes
+from common import fake_targets
 import pytest
 from sassafras_node.calls import entry
 from sassafras_policy.calls import outcomes
--- a/tests/contract/test_idempotency_keys.py
+++ b/tests/contract/test_idempotency_keys.py
@@ -1,7 +1,7 @@
 """Requests with an idempotency key, on nodes in one process."""
 
-from common import fake_targets
 from common import call_nodes as nodes
+from common import fake_targets
 import pytest
 from sassafras_node.calls import entry
 from sassafras_policy.calls import outcomes
