--- a/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
@@ -226,7 +226,8 @@
 
     A node that has not seen the claimer's epoch may still run the key for
     others that have not, and so must not say that it has no record. Neither
-    must one that would have to ask a still earlier home.
+    must one that would have to ask a still earlier home, or one that stops and
+    has deposited its records.
     """
     now = _now(runtime)
     holding = Holding.UNKNOWN
@@ -242,6 +243,7 @@
         )
     if (
         record is None
+        and not runtime.drain.is_draining
         and runtime.homes.epoch >= claim.epoch
         and not runtime.homes.has_lost_records(now)
         and not runtime.homes.earlier_homes(claim.service, claim.scope, now)
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/peers/handovers.py
@@ -0,0 +1,208 @@
+"""Hands a home's idempotency records over when it is restarted as planned.
+
+The stopping node deposits its records with one peer and takes them back after
+its start. There is never a second copy: the records are sent to one peer only,
+which returns them once.
+"""
+
+from sassafras_base import errors
+from sassafras_base import events
+from sassafras_base import hashing
+from sassafras_policy.idempotency import custody
+from sassafras_policy.idempotency import records
+from sassafras_wire.peer import converters
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
+import trio
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
+
+_SEND_TIMEOUT_S = 10.0
+_ASK_TIMEOUT_S = 2.0
+_RECOVER_FOR_S = 15.0
+_RETRY_INTERVAL_S = 0.5
+# The peers that were alive at the stop and at the start may differ.
+_CANDIDATES = 5
+
+
+@events.declare(350, "INFO")
+def records_deposited(peer: str, count: int) -> str:
+    """A planned stop has handed the idempotency records to a peer."""
+    return f"{count} idempotency records deposited with {peer}"
+
+
+@events.declare(351, "WARNING")
+def records_not_deposited(count: int, error: str) -> str:
+    """A planned stop could not hand its idempotency records over.
+
+    The keys of this node answer unknown for 910 s after its next start.
+    """
+    return f"{count} idempotency records not deposited: {error}"
+
+
+@events.declare(352, "INFO")
+def records_recovered(peer: str, count: int) -> str:
+    """The records of the node's earlier life are back after a planned stop."""
+    return f"{count} idempotency records taken back from {peer}"
+
+
+@events.declare(353, "WARNING")
+def records_lost() -> str:
+    """The node was restarted and no peer holds its idempotency records.
+
+    Its keys answer unknown until 910 s after its start. This is expected
+    after a crash.
+    """
+    return "idempotency records of the earlier life are lost"
+
+
+async def deposit(runtime: runtimes.Runtime) -> None:
+    """Sends the records to one peer, after the last call has ended."""
+    now = runtime.clock.now_with_suspend()
+    if not runtime.homes.epoch or runtime.homes.has_lost_records(now):
+        return
+    if runtime.running_keys:
+        records_not_deposited(
+            len(runtime.idempotency), "requests with keys still run"
+        )
+        return
+    entries = runtime.idempotency.take_ended(now)
+    # An empty deposit is sent as well: it says that nothing was lost.
+    parts = list(custody.chunks(entries)) or [[]]
+    problem = "no peer has room"
+    for peer in _candidates(runtime):
+        try:
+            with trio.fail_after(_SEND_TIMEOUT_S):
+                accepted = await _send(runtime, peer, parts)
+        except (errors.SassafrasError, trio.TooSlowError) as error:
+            # The peer may hold them all, so no other may get them.
+            problem = repr(error)
+            break
+        if accepted:
+            records_deposited(peer, len(entries))
+            return
+    records_not_deposited(len(entries), problem)
+
+
+async def recover(runtime: runtimes.Runtime) -> None:
+    """Takes the records of the node's earlier life back, if there was one."""
+    while runtime.table.own_id not in runtime.roster.current.node_ids:
+        await runtime.changed.wait()
+    if not runtime.homes.has_lost_records(runtime.clock.now_with_suspend()):
+        return
+    with trio.move_on_after(_RECOVER_FOR_S):
+        while True:
+            for peer in _candidates(runtime):
+                count = await _take_back(runtime, peer)
+                if count is not None:
+                    runtime.homes.recovered()
+                    records_recovered(peer, count)
+                    return
+            await trio.sleep(_RETRY_INTERVAL_S)
+    records_lost()
+
+
+@handlers.message_handlers.register("records_transfer")
+async def handle_transfer(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> models.Message | None:
+    """Keeps records of a peer that is being restarted."""
+    assert isinstance(message, models.RecordsTransfer)
+    now = runtime.clock.now_with_suspend()
+    accepted = not runtime.drain.is_draining and runtime.custody.receive(
+        link.peer.node_id,
+        [_to_entry(model, now) for model in message.records],
+        message.is_last,
+        now,
+    )
+    return models.RecordsAck(accepted=accepted)
+
+
+@handlers.message_handlers.register("records_fetch")
+async def handle_fetch(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> models.Message | None:
+    """Gives a restarted peer its records back."""
+    assert isinstance(message, models.RecordsFetch)
+    now = runtime.clock.now_with_suspend()
+    taken = runtime.custody.take(link.peer.node_id, message.is_first, now)
+    if taken is None:
+        return models.RecordsTransfer(found=False)
+    entries, is_last = taken
+    return models.RecordsTransfer(
+        records=[_to_model(entry, now) for entry in entries], is_last=is_last
+    )
+
+
+def _candidates(runtime: runtimes.Runtime) -> list[str]:
+    peers = [record.node_id for record in runtime.table.peers]
+    return hashing.rendezvous(runtime.table.own_id, peers, _CANDIDATES)
+
+
+async def _send(
+    runtime: runtimes.Runtime, peer: str, parts: list[list[custody.Entry]]
+) -> bool:
+    for number, part in enumerate(parts):
+        now = runtime.clock.now_with_suspend()
+        message = models.RecordsTransfer(
+            records=[_to_model(entry, now) for entry in part],
+            is_last=number == len(parts) - 1,
+        )
+        ack = await runtime.peer_pools.ask(peer, message, models.RecordsAck)
+        if not ack.accepted:
+            return False
+    return True
+
+
+async def _take_back(runtime: runtimes.Runtime, peer: str) -> int | None:
+    """Returns how many records came back, or None unless all did."""
+    entries: list[custody.Entry] = []
+    is_first = True
+    while True:
+        reply = None
+        with trio.move_on_after(_ASK_TIMEOUT_S):
+            try:
+                reply = await runtime.peer_pools.ask(
+                    peer,
+                    models.RecordsFetch(is_first=is_first),
+                    models.RecordsTransfer,
+                )
+                now = runtime.clock.now_with_suspend()
+                entries += [_to_entry(model, now) for model in reply.records]
+            except (errors.SassafrasError, ValueError):
+                return None
+        if reply is None or not reply.found:
+            return None
+        if reply.is_last:
+            break
+        is_first = False
+    for key, record in entries:
+        runtime.idempotency.restore(key, record)
+    return len(entries)
+
+
+def _to_model(entry: custody.Entry, now: float) -> models.StoredRecordModel:
+    key, record = entry
+    assert record.answer is not None
+    return models.StoredRecordModel(
+        scope=key,
+        fingerprint=record.fingerprint,
+        kept=record.kept,
+        remaining_ms=max(0, int((record.expires_at - now) * 1000) + 1),
+        answer=converters.answer_to_message(0, record.answer),
+    )
+
+
+def _to_entry(model: models.StoredRecordModel, now: float) -> custody.Entry:
+    """Returns the entry of a model.
+
+    Raises:
+      ValueError: The outcome or reason of its answer is not known.
+    """
+    return model.scope, records.Record(
+        model.fingerprint,
+        converters.message_to_answer(model.answer),
+        model.kept,
+        now + model.remaining_ms / 1000,
+    )
--- a/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
@@ -1,8 +1,9 @@
 """Supervises the links to other nodes.
 
 Children: `sessions` and `accept` (connections from peers), `readers` (call
-connections to peers), `rejoin` (tries nodes that are taken for dead), `ring`
-(chooses the neighbours) and one `link:<node>` for each neighbour. A link that
+connections to peers), `rejoin` (tries nodes that are taken for dead), `recover`
+(takes idempotency records back after a planned restart), `ring` (chooses the
+neighbours) and one `link:<node>` for each neighbour. A link that
 fails restarts alone with a back-off and never gives up, as an unreachable
 neighbour is no fault of this node.
 """
@@ -15,6 +16,7 @@
 
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handovers
 from sassafras_node.peers import link
 from sassafras_node.peers import rejoin
 from sassafras_node.peers import session
@@ -38,6 +40,11 @@
             supervision.Child("accept", listener.accept),
             supervision.Child("readers", runtime.peer_pools.run_readers),
             supervision.Child("rejoin", functools.partial(rejoin.run, runtime)),
+            supervision.Child(
+                "recover",
+                functools.partial(handovers.recover, runtime),
+                permanent=False,
+            ),
             supervision.Child(
                 "links",
                 functools.partial(_run_links, runtime, neighbour_links),
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -10,6 +10,7 @@
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import custody
 from sassafras_policy.idempotency import homes
 from sassafras_policy.idempotency import records as idempotency_records
 from sassafras_policy.limits import limiters
@@ -86,6 +87,7 @@
       backoff: Waits before a retry at the same target.
       homes: Which node keeps the record of an idempotency key.
       idempotency: Idempotency records kept by this node.
+      custody: Idempotency records of peers that are being restarted.
       running_keys: Set when the first request of a key has ended.
       store: Client of the platform's key-value service.
       credentials: Identity and peer secret.
@@ -136,6 +138,7 @@
             own.node_id, own.incarnation, clock.now_with_suspend()
         )
         self.idempotency = idempotency_records.Records()
+        self.custody = custody.Custody()
         self.running_keys: dict[str, trio.Event] = {}
         self.store = store_client.StoreClient(settings.store)
         self.credentials = links.Credentials(
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -17,6 +17,7 @@
 from sassafras_node.admin import supervisor as admin
 from sassafras_node.callers import supervisor as callers
 from sassafras_node.membership import supervisor as membership
+from sassafras_node.peers import handovers
 from sassafras_node.peers import supervisor as peers
 from sassafras_node.reports import fleet as _report_handlers  # noqa: F401
 from sassafras_node.store import supervisor as store
@@ -102,6 +103,7 @@
     await callers_at.close()
     with trio.move_on_after(_DRAIN_TIMEOUT_S):
         await runtime.drain.idle.wait()
+    await handovers.deposit(runtime)
     runtime.table.update_own(status=records.Status.LEFT)
     await trio.sleep(_LEAVE_NOTICE_S / 2)
     with trio.move_on_after(_DRAIN_TIMEOUT_S):
--- a/packages/sassafras-policy/src/sassafras_policy/idempotency/homes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/idempotency/homes.py
@@ -66,6 +66,7 @@
         self._own_incarnation = own_incarnation
         self._started_at = now
         self._roster = rosters.Roster()
+        self._recovered = False
         self._superseded: list[_Superseded] = []
 
     @property
@@ -111,11 +112,15 @@
             if node_id is not None and node_id != self._own_id
         )
 
+    def recovered(self) -> None:
+        """Notes that the records of an earlier life have been restored."""
+        self._recovered = True
+
     def has_lost_records(self, now: float) -> bool:
         """Returns whether records of an earlier life may be missing here."""
         for member in self._roster.members:
             if member.node_id == self._own_id:
-                return (
+                return not self._recovered and (
                     member.incarnation < self._own_incarnation
                     and now < self._started_at + BLOCK_S
                 )
--- a/packages/sassafras-policy/src/sassafras_policy/idempotency/records.py
+++ b/packages/sassafras-policy/src/sassafras_policy/idempotency/records.py
@@ -130,6 +130,21 @@
         if record is not None and record.answer is not None:
             self._answer_bytes -= _size(record.answer)
 
+    def take_ended(self, now: float) -> list[tuple[str, Record]]:
+        """Removes and returns all ended records, in order of expiry."""
+        self._expire(now)
+        entries = list(self._ended.items())
+        self._ended.clear()
+        self._answer_bytes = 0
+        return entries
+
+    def restore(self, key: str, record: Record) -> None:
+        """Puts a record back that `take_ended` has returned, in its order."""
+        assert record.answer is not None
+        if key not in self._running and key not in self._ended:
+            self._ended[key] = record
+            self._answer_bytes += _size(record.answer)
+
     def _expire(self, now: float) -> None:
         while self._ended:
             key, record = next(iter(self._ended.items()))
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -160,6 +160,50 @@
     answer: AnswerMessage | None = None
 
 
+class StoredRecordModel(pydantic.BaseModel):
+    """An idempotency record as it travels between nodes."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    scope: str = pydantic.Field(max_length=64)
+    fingerprint: bytes
+    kept: bool
+    remaining_ms: int = pydantic.Field(ge=0)
+    answer: AnswerMessage
+
+
+@message_types.register("records_transfer")
+class RecordsTransfer(Message):
+    """A part of the idempotency records of one node.
+
+    Attributes:
+      found: Whether the sender holds a whole deposit; True in a deposit.
+      records: The records, in order of expiry.
+      is_last: Whether no further part follows.
+    """
+
+    type: Literal["records_transfer"] = "records_transfer"
+    found: bool = True
+    records: list[StoredRecordModel] = []
+    is_last: bool = True
+
+
+@message_types.register("records_ack")
+class RecordsAck(Message):
+    """Answers a part of a deposit."""
+
+    type: Literal["records_ack"] = "records_ack"
+    accepted: bool
+
+
+@message_types.register("records_fetch")
+class RecordsFetch(Message):
+    """Asks for the next part of the sender's own deposit."""
+
+    type: Literal["records_fetch"] = "records_fetch"
+    is_first: bool
+
+
 class NodeRecordModel(pydantic.BaseModel):
     """A membership record as it travels between nodes."""
 
--- /dev/null
+++ b/tests/contract/test_node_retries.py
@@ -0,0 +1,100 @@
+"""Which failed attempts a node repeats itself, and how often."""
+
+from common import call_nodes as nodes
+from common import fake_targets
+import pytest
+from sassafras_node.calls import entry
+from sassafras_policy.calls import outcomes
+import trio
+
+pytestmark = pytest.mark.loopback
+
+
+@pytest.mark.parametrize(
+    ("policy", "outcome"),
+    [
+        ("budgeted", outcomes.Outcome.RAN),
+        ("never", outcomes.Outcome.NOT_RUN),
+    ],
+)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_target_that_comes_back_soon(policy, outcome, method):
+    """Guards against failing calls while the only target restarts."""
+    async with (
+        trio.open_nursery() as nursery,
+        nodes.fleet(nursery, ["entry"], retries=policy) as fleet,
+    ):
+        host = await fleet.add("entry")
+        target = fake_targets.CountingTarget(host.target_address)
+
+        async def start_later():
+            await trio.sleep(0.03)
+            await nursery.start(target.run)
+
+        nursery.start_soon(start_later)
+        answer = await entry.handle_root(
+            host.runtime, nodes.request(method, "/entry/1")
+        )
+        assert answer.outcome is outcome
+        assert target.executions == int(outcome is outcomes.Outcome.RAN)
+
+
+@pytest.mark.parametrize(
+    ("policy", "attempts"), [("budgeted", 2), ("never", 1), ("always", 4)]
+)
+async def test_overload_is_retried_once_at_another_target(
+    policy, attempts, monkeypatch
+):
+    """Guards against retries that add to an overload."""
+    async with (
+        trio.open_nursery() as nursery,
+        nodes.fleet(nursery, ["entry"], 1000, retries=policy) as fleet,
+    ):
+        front = await fleet.add()
+        for _ in range(3):
+            await fleet.add("entry")
+        monkeypatch.setattr(
+            "sassafras_node.calls.local.serve", _refuse_for_overload
+        )
+        calls = []
+        send = front.runtime.peer_pools.call
+
+        async def counted(node_id, message, call):
+            calls.append(node_id)
+            return await send(node_id, message, call)
+
+        front.runtime.peer_pools.call = counted
+        answer = await entry.handle_root(
+            front.runtime, nodes.request("GET", "/entry/1")
+        )
+        assert answer.reason is outcomes.Reason.OVERLOAD
+        assert answer.outcome is outcomes.Outcome.NOT_RUN
+        assert len(calls) == attempts
+        assert len(set(calls)) == min(attempts, 3)
+
+
+async def _refuse_for_overload(runtime, request, call):
+    del runtime, request, call
+    return nodes.messages.refusal(outcomes.Reason.OVERLOAD, 503, "no room")
+
+
+async def test_many_failing_calls_use_up_the_guard_of_the_node():
+    """Guards against a node that doubles the load on a failing service."""
+    async with (
+        trio.open_nursery() as nursery,
+        nodes.fleet(nursery, ["entry"]) as fleet,
+    ):
+        first = await fleet.add("entry")
+        second = await fleet.add("entry")
+        dying = fake_targets.CountingTarget(
+            first.target_address, fake_targets.Cut.WHOLE_REQUEST
+        )
+        sound = fake_targets.CountingTarget(second.target_address)
+        await nursery.start(dying.run)
+        await nursery.start(sound.run)
+        for _ in range(60):
+            await entry.handle_root(
+                first.runtime, nodes.request("GET", "/entry/1")
+            )
+        assert dying.executions == 60
+        assert 1 <= sound.executions <= 10
--- /dev/null
+++ b/tests/contract/test_record_deposits.py
@@ -0,0 +1,101 @@
+"""Records that a peer keeps while their home is restarted."""
+
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.idempotency import custody
+from sassafras_policy.idempotency import records
+
+
+def _entries(count, size=10):
+    answer = messages.Answer(outcomes.Outcome.RAN, body=b"x" * size)
+    return [
+        (f"key {number}", records.Record(b"f", answer, True, 900.0 + number))
+        for number in range(count)
+    ]
+
+
+def _take_all(keeper, owner, now=1.0):
+    taken, is_first = [], True
+    while True:
+        part = keeper.take(owner, is_first, now)
+        if part is None:
+            return None
+        taken += part[0]
+        if part[1]:
+            return taken
+        is_first = False
+
+
+def test_a_deposit_is_returned_whole_and_once():
+    """Guards against two nodes, or two lives of one, with the same records."""
+    keeper = custody.Custody()
+    entries = _entries(1200)
+    parts = list(custody.chunks(entries))
+    assert len(parts) == 3
+    for number, part in enumerate(parts):
+        assert keeper.receive("a", part, number == len(parts) - 1, 0.0)
+    assert _take_all(keeper, "b") is None
+    assert _take_all(keeper, "a") == entries
+    assert _take_all(keeper, "a") is None
+
+
+def test_an_empty_deposit_says_that_nothing_is_missing():
+    """Guards against a home without records that is taken for a lost one."""
+    keeper = custody.Custody()
+    assert keeper.receive("a", [], True, 0.0)
+    assert _take_all(keeper, "a") == []
+
+
+def test_a_deposit_without_its_end_is_not_returned():
+    """Guards against taking a part of the records for all of them."""
+    keeper = custody.Custody()
+    assert keeper.receive("a", _entries(5), False, 0.0)
+    assert _take_all(keeper, "a") is None
+
+
+def test_the_rest_of_an_opened_deposit_is_not_returned():
+    """Guards against a second life that takes the rest for everything."""
+    keeper = custody.Custody()
+    assert keeper.receive("a", _entries(1200), True, 0.0)
+    assert keeper.take("a", True, 1.0) is not None
+    assert _take_all(keeper, "a") is None
+
+
+def test_deposits_expire_and_are_bounded():
+    """Guards against records that come back after newer ones were made."""
+    keeper = custody.Custody()
+    for owner in "abcd":
+        assert keeper.receive(owner, _entries(1), True, 0.0)
+    assert not keeper.receive("e", _entries(1), True, 1.0)
+    assert _take_all(keeper, "a", now=records.LIFETIME_S) is None
+    assert keeper.receive("e", _entries(1), True, records.LIFETIME_S)
+
+
+def test_parts_are_bounded_by_bytes():
+    """Guards against messages that are larger than a frame may be."""
+    sizes = [
+        sum(len(record.answer.body) for _, record in part)
+        for part in custody.chunks(_entries(20, size=100_000))
+    ]
+    assert sum(sizes) == 2_000_000
+    assert max(sizes) <= custody.CHUNK_BYTES
+
+
+def test_records_come_back_in_the_order_of_their_expiry():
+    """Guards against a restored record that outlives or blocks the others."""
+    table = records.Records()
+    for number in range(3):
+        table.begin(f"key {number}", b"f", float(number))
+        table.finish(
+            f"key {number}",
+            messages.Answer(outcomes.Outcome.RAN, body=b"12345"),
+            float(number),
+        )
+    entries = table.take_ended(5.0)
+    assert len(table) == table.answer_bytes == 0
+    for key, record in entries:
+        table.restore(key, record)
+    assert table.answer_bytes == 15
+    assert table.begin("key 0", b"f", 899.0) is records.Verdict.STORED
+    assert table.begin("key 0", b"f", 900.0) is records.Verdict.RUN
+    assert table.begin("key 2", b"f", 901.0) is records.Verdict.STORED
