--- a/packages/sassafras-node/src/sassafras_node/peers/pool.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/pool.py
@@ -1,5 +1,9 @@
 """Call connections to peers, one call at a time on each."""
 
+from collections.abc import AsyncIterator
+import contextlib
+from typing import TypeVar
+
 from sassafras_base import errors
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
@@ -7,6 +11,8 @@
 
 from sassafras_node.calls import contexts
 
+M = TypeVar("M", bound=models.Message)
+
 
 class PeerPools:
     """Keeps idle call connections for each peer."""
@@ -34,17 +40,38 @@
         self,
         node_id: str,
         message: models.Call,
-        authority: contexts.RetryAuthority,
+        call: contexts.ActiveCall,
     ) -> models.AnswerMessage:
         """Sends a call to a peer and returns its answer.
 
         While it waits it passes retry asks on to the authority of the call.
+        The progress of the call says whether sending began.
 
         Raises:
           UnreachableError: The peer could not be reached; nothing was sent.
           ConnectionLostError: The connection ended; the call may have run.
           ProtocolError: The peer broke the protocol; the call may have run.
         """
+        async with self._link(node_id) as link:
+            return await _exchange(link, message, call)
+
+    async def ask(
+        self, node_id: str, message: models.Message, kind: type[M]
+    ) -> M:
+        """Sends a control message to a peer and returns its reply.
+
+        Raises:
+          UnreachableError: The peer could not be reached.
+          ConnectionLostError: The connection ended.
+          ProtocolError: The peer broke the protocol.
+        """
+        async with self._link(node_id) as link:
+            await link.send(message)
+            return await link.expect(kind)
+
+    @contextlib.asynccontextmanager
+    async def _link(self, node_id: str) -> AsyncIterator[links.Link]:
+        """Lends a connection; one that was not used to the end is closed."""
         permits = self._permits.get(node_id)
         if permits is None:
             permits = trio.CapacityLimiter(self._connections_per_peer)
@@ -56,13 +83,12 @@
         try:
             link = await self._take(node_id)
             try:
-                answer = await _exchange(link, message, authority)
+                yield link
             except BaseException:
                 with trio.CancelScope(shield=True):
                     await link.abort()
                 raise
             self._idle.setdefault(node_id, []).append(link)
-            return answer
         finally:
             permits.release_on_behalf_of(borrower)
 
@@ -85,19 +111,33 @@
 
 
 async def _exchange(
-    link: links.Link, message: models.Call, authority: contexts.RetryAuthority
+    link: links.Link, message: models.Call, call: contexts.ActiveCall
 ) -> models.AnswerMessage:
     call_id = link.next_call_id()
+    if not link.is_open:
+        raise errors.UnreachableError(
+            "peer.call", link.address, "the link closed before sending"
+        )
+    call.progress.may_have_run = True
     await link.send(message.model_copy(update={"call_id": call_id}))
+    grant = models.RetryGrant(call_id=call_id, ask_id=0, granted=False)
     while True:
         reply = await link.receive()
         if isinstance(reply, models.RetryAsk) and reply.call_id == call_id:
-            granted = await authority.ask()
-            await link.send(models.RetryGrant(call_id=call_id, granted=granted))
-        elif (
-            isinstance(reply, models.AnswerMessage) and reply.call_id == call_id
+            # A doubled ask gets the same answer and is counted once.
+            if reply.ask_id != grant.ask_id:
+                grant = models.RetryGrant(
+                    call_id=call_id,
+                    ask_id=reply.ask_id,
+                    granted=await call.authority.ask(),
+                )
+            await link.send(grant)
+        elif isinstance(reply, models.AnswerMessage) and (
+            reply.call_id <= call_id
         ):
-            return reply
+            # A lower id belongs to an earlier call on this link.
+            if reply.call_id == call_id:
+                return reply
         else:
             raise errors.ProtocolError(
                 "peer.call", link.address, f"unexpected {reply.type!r}"
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -10,11 +10,16 @@
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import homes
+from sassafras_policy.idempotency import records as idempotency_records
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
 from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
+from sassafras_policy.retries import backoff
+from sassafras_policy.retries import guard
+from sassafras_policy.retries import policies as retry_policies
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import link as links
@@ -76,6 +81,12 @@
       contexts: Call contexts of calls at the target beside the node.
       limiter: Rates of organisations.
       balancer: Choice among targets.
+      retry_policy: Whether a failed call is tried again.
+      retry_guard: Retries of this node as a part of its first attempts.
+      backoff: Waits before a retry at the same target.
+      homes: Which node keeps the record of an idempotency key.
+      idempotency: Idempotency records kept by this node.
+      running_keys: Set when the first request of a key has ended.
       store: Client of the platform's key-value service.
       credentials: Identity and peer secret.
       drain: Work in flight and planned stop.
@@ -116,6 +127,16 @@
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
         factory = balancers.balancers.get(settings.policy.balancer)
         self.balancer = factory(rng)  # type: ignore[call-arg]
+        self.retry_policy = retry_policies.retry_policies.get(
+            settings.policy.retries
+        )()
+        self.retry_guard = guard.RetryGuard()
+        self.backoff = backoff.Backoff(rng)
+        self.homes = homes.Homes(
+            own.node_id, own.incarnation, clock.now_with_suspend()
+        )
+        self.idempotency = idempotency_records.Records()
+        self.running_keys: dict[str, trio.Event] = {}
         self.store = store_client.StoreClient(settings.store)
         self.credentials = links.Credentials(
             identity=authentication.Identity(
@@ -176,7 +197,7 @@
         self._wake()
 
     def _on_roster(self, roster: rosters.Roster) -> None:
-        del roster
+        self.homes.adopt(roster, self.clock.now_with_suspend())
         self._configure_limiter()
         self._wake()
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -101,10 +101,17 @@
 
 @message_types.register("retry_ask")
 class RetryAsk(Message):
-    """Asks the first node for one more retry, on the call's connection."""
+    """Asks the first node for one more retry, on the call's connection.
+
+    Attributes:
+      call_id: The call whose connection it travels on.
+      ask_id: Rises with each ask of a call, so that a late or doubled grant
+        is not taken for the answer to another ask.
+    """
 
     type: Literal["retry_ask"] = "retry_ask"
     call_id: int
+    ask_id: int = 0
 
 
 @message_types.register("retry_grant")
@@ -113,9 +120,46 @@
 
     type: Literal["retry_grant"] = "retry_grant"
     call_id: int
+    ask_id: int = 0
     granted: bool
 
 
+@message_types.register("record_claim")
+class RecordClaim(Message):
+    """Asks an earlier home of a key for its idempotency record.
+
+    Attributes:
+      epoch: Roster epoch that makes the sender the home.
+      service: Service of the route.
+      scope: Digest of organisation, route and key.
+    """
+
+    type: Literal["record_claim"] = "record_claim"
+    epoch: int
+    service: str
+    scope: str = pydantic.Field(max_length=64)
+
+
+@message_types.register("record_handover")
+class RecordHandover(Message):
+    """Answers a claim; the sender keeps the record no longer.
+
+    Attributes:
+      scope: The key of the claim.
+      holding: `none`, `held` or `unknown`.
+      fingerprint: Digest of the request.
+      kept: Whether the answer is whole.
+      answer: The stored answer.
+    """
+
+    type: Literal["record_handover"] = "record_handover"
+    scope: str
+    holding: str
+    fingerprint: bytes = b""
+    kept: bool = True
+    answer: AnswerMessage | None = None
+
+
 class NodeRecordModel(pydantic.BaseModel):
     """A membership record as it travels between nodes."""
 
