Admit by adaptive limit, queue and level; balance by health

A target was protected by its announced slots only. A slow deep service made every hop spend work on requests that it then refused, at-most-once calls were refused as readily as status checks, and a target that failed fast drew calls to itself.

The policy `adaptive` becomes the default. Its concurrency limit tries a decrease when the latency rises and undoes it unless the latency falls with it; the latency is the target's own, without its sub-calls. A short queue is ordered by class and deadline. An admission level follows the queue wait, travels up in every answer, and lets nodes refuse by the levels of all services that a route reaches; it opens by itself. The balancer counts errors as calls in flight, ejects failing targets, and starts new ones slowly; errors that stem from a failed sub-call do not count against a target. A deadline that passes closes the connection to the target. `slots` and `unlimited` remain as baselines.

--- a/packages/sassafras-node/src/sassafras_node/calls/contexts.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/contexts.py
@@ -5,8 +5,11 @@
 from typing import Protocol
 
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
 from sassafras_policy.retries import allowance
 
+from sassafras_node.targets import gate as gates
+
 _TOKEN_BYTES = 18
 
 
@@ -29,6 +32,77 @@
         return self._allowance.take()
 
 
+class CallTrace:
+    """What the sub-calls of one call at the target have shown so far.
+
+    Attributes:
+      levels: Admission level of each service that answered one.
+      has_failure: Whether one of them failed.
+      has_success: Whether one of them succeeded.
+    """
+
+    def __init__(self) -> None:
+        self.levels: dict[str, int] = {}
+        self.has_failure = False
+        self.has_success = False
+        self._gate: gates.Gate | None = None
+        self._open = 0
+        self._open_since = 0.0
+        self._closed_s = 0.0
+
+    def entered(self, gate: gates.Gate) -> None:
+        """Notes the gate through which the call went to the target."""
+        self._gate = gate
+
+    def leave(self, started: float, success: bool, now: float) -> None:
+        """Gives the place at the gate back.
+
+        Args:
+          started: When the call went to the target.
+          success: Whether the target answered without an error.
+          now: The current time.
+        """
+        gate, self._gate = self._gate, None
+        if gate is None:
+            return
+        if self._open:
+            gate.resume()
+        gate.leave(now - started - self.sub_call_s(now), success)
+
+    def begin(self, now: float) -> None:
+        """Notes that a sub-call begins."""
+        if self._open == 0:
+            self._open_since = now
+            if self._gate is not None:
+                self._gate.pause()
+        self._open += 1
+
+    def end(self, now: float) -> None:
+        """Notes that a sub-call has ended."""
+        self._open -= 1
+        if self._open == 0:
+            self._closed_s += now - self._open_since
+            if self._gate is not None:
+                self._gate.resume()
+
+    def learn(self, answer: messages.Answer) -> None:
+        """Takes the levels and the outcome that a sub-call's answer carried."""
+        self.levels.update(answer.levels)
+        ran = answer.outcome is outcomes.Outcome.RAN
+        failed = not ran or answer.status >= 500
+        self.has_failure |= failed
+        self.has_success |= not failed
+
+    def sub_call_s(self, now: float) -> float:
+        """Returns the time during which one or more sub-calls were open.
+
+        The rest of a call's time is the target's own, which alone shows
+        whether the target has too many calls.
+        """
+        running_s = now - self._open_since if self._open else 0.0
+        return self._closed_s + running_s
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ActiveCall:
     """A call in progress at this node.
@@ -36,10 +110,12 @@
     Attributes:
       context: What it inherited from its root request.
       authority: Whom to ask for retries.
+      trace: What its sub-calls have shown.
     """
 
     context: messages.CallContext
     authority: RetryAuthority
+    trace: CallTrace = dataclasses.field(default_factory=CallTrace)
 
 
 class ContextTable:
--- a/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
@@ -1,7 +1,6 @@
 """Choice of a target for a call, and retries at another one."""
 
 from sassafras_base import errors
-from sassafras_policy.balancing import balancers
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.membership import records
@@ -85,18 +84,14 @@
         if record.node_id not in tried
     ]
     own = runtime.table.own
-    if own in serving and runtime.target.has_room:
+    views = runtime.peer_views
+    if (
+        own in serving
+        and runtime.target.has_room
+        and not views.is_ejected(own.node_id)
+    ):
         return own
-    candidates = [
-        balancers.Candidate(
-            node_id=record.node_id,
-            same_zone=record.availability_zone == own.availability_zone,
-            in_flight=runtime.peer_views.in_flight(record.node_id),
-            load=runtime.peer_views.load(record.node_id),
-            capacity=float(record.slots),
-        )
-        for record in serving
-    ]
+    candidates = [views.candidate(record, own) for record in serving]
     choice = runtime.balancer.choose(candidates)
     return runtime.table.get(choice.node_id) if choice else None
 
--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -11,7 +11,7 @@
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
-from sassafras_node.calls import dispatch
+from sassafras_node.calls import shedding
 
 _RETRY_AFTER_MS = 1000
 
@@ -60,7 +60,7 @@
             allowance.RetryAllowance(index.document.retry_limit)
         ),
     )
-    return await dispatch.dispatch(runtime, request, call)
+    return await shedding.serve(runtime, request, call)
 
 
 async def handle_sub_call(
@@ -85,7 +85,7 @@
                 allowance.RetryAllowance(index.document.retry_limit)
             ),
         )
-        return await dispatch.dispatch(runtime, request, call)
+        return await shedding.serve(runtime, request, call)
     now = runtime.clock.now()
     context = messages.CallContext(
         root_id=parent.context.root_id,
@@ -100,7 +100,13 @@
         at_most_once=entry.route.at_most_once,
     )
     call = contexts.ActiveCall(context=context, authority=parent.authority)
-    return await dispatch.dispatch(runtime, request, call)
+    parent.trace.begin(now)
+    try:
+        answer = await shedding.serve(runtime, request, call, parent.trace)
+        parent.trace.learn(answer)
+    finally:
+        parent.trace.end(runtime.clock.now())
+    return answer
 
 
 def _new_context(
--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -1,12 +1,17 @@
 """Serves a call at the target beside the node."""
 
+import dataclasses
+
 from sassafras_base import errors
+from sassafras_policy.admission import levels
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import fields
+import trio
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
+from sassafras_node.targets import gate as gates
 
 _RETRY_AFTER_MS = 1000
 
@@ -18,11 +23,9 @@
 ) -> messages.Answer:
     """Admits a call, hands it to the target and returns the whole answer."""
     target = runtime.target
-    now = runtime.clock.now()
-    if call.context.deadline <= now:
-        return messages.refusal(
-            outcomes.Reason.DEADLINE, 504, "the deadline has passed"
-        )
+    remaining_s = call.context.deadline - runtime.clock.now()
+    if remaining_s <= 0.0:
+        return _late()
     if not target.is_serving or runtime.drain.is_draining:
         return messages.refusal(
             outcomes.Reason.LEAVING,
@@ -31,30 +34,56 @@
             retry_after_ms=_RETRY_AFTER_MS,
             retryable=True,
         )
-    decision = target.admission.decide(call.context, now)
-    if not decision.admitted:
-        return messages.refusal(
+    # The call gives its place back at the gate that let it in, even when a
+    # new target has announced itself meanwhile.
+    gate = target.gate
+    verdict = await gate.enter(call.context)
+    if verdict is gates.Verdict.LATE:
+        answer = _late()
+    elif verdict is gates.Verdict.REFUSED:
+        answer = messages.refusal(
             outcomes.Reason.OVERLOAD,
             503,
             f"the target of service {request.service} has no room",
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=levels.retry_after_ms(call.context.rank, gate.level),
         )
-    return await _exchange(runtime, request, call)
+    else:
+        answer = await _exchange_in_time(runtime, request, call, gate)
+    heard = {**call.trace.levels, request.service: gate.level}
+    answer = dataclasses.replace(
+        answer, levels=tuple(heard.items()), load=gate.load
+    )
+    runtime.peer_views.heard(runtime.table.own_id, answer)
+    return answer
+
+
+async def _exchange_in_time(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+    gate: gates.Gate,
+) -> messages.Answer:
+    """Closes the target connection when the deadline passes."""
+    remaining_s = call.context.deadline - runtime.clock.now()
+    with trio.move_on_after(max(0.0, remaining_s)):
+        return await _exchange(runtime, request, call, gate)
+    return messages.unknown(
+        outcomes.Reason.DEADLINE, 504, "the deadline passed at the target"
+    )
 
 
 async def _exchange(
     runtime: runtimes.Runtime,
     request: messages.Request,
     call: contexts.ActiveCall,
+    gate: gates.Gate,
 ) -> messages.Answer:
-    target = runtime.target
-    admission = target.admission
     started = runtime.clock.now()
+    call.trace.entered(gate)
     token = runtime.contexts.open(call)
-    admission.started(started)
     success = False
     try:
-        response = await target.pool.exchange(
+        response = await runtime.target.pool.exchange(
             _target_request(runtime, request, call, token)
         )
         success = response.status < 500
@@ -76,14 +105,19 @@
         )
     finally:
         runtime.contexts.close(token)
-        now = runtime.clock.now()
-        admission.finished(now - started, success, now)
+        call.trace.leave(started, success, runtime.clock.now())
     return messages.Answer(
         outcome=outcomes.Outcome.RAN,
         status=response.status,
         headers=fields.for_caller(response.headers),
         body=response.body,
-        load=admission.load,
+        sub_call_failed=call.trace.has_failure,
+    )
+
+
+def _late() -> messages.Answer:
+    return messages.refusal(
+        outcomes.Reason.DEADLINE, 504, "the deadline has passed"
     )
 
 
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/calls/shedding.py
@@ -0,0 +1,57 @@
+"""Refuses calls that a service further on would refuse anyway."""
+
+from sassafras_policy.admission import levels
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+from sassafras_node.calls import dispatch
+
+
+async def serve(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+    parent: contexts.CallTrace | None = None,
+) -> messages.Answer:
+    """Dispatches a call unless the levels last heard refuse it.
+
+    A parent that already has an answer from another service goes on: the work
+    of that service would be lost.
+    """
+    if parent is None or not parent.has_success:
+        refusal = _refusal(runtime, request, call)
+        if refusal is not None:
+            return refusal
+    answer = await dispatch.dispatch(runtime, request, call)
+    now = runtime.clock.now()
+    for service, level in answer.levels:
+        runtime.heard_levels.heard(service, level, now)
+    return answer
+
+
+def _refusal(
+    runtime: runtimes.Runtime,
+    request: messages.Request,
+    call: contexts.ActiveCall,
+) -> messages.Answer | None:
+    index = runtime.configuration.index
+    if index is None:
+        return None
+    found = runtime.heard_levels.refusing(
+        index.reachable(request.service),
+        call.context,
+        levels.open_level(index.class_count),
+        runtime.clock.now(),
+    )
+    if found is None:
+        return None
+    service, level = found
+    return messages.refusal(
+        outcomes.Reason.OVERLOAD,
+        503,
+        f"service {service} is overloaded",
+        retry_after_ms=levels.retry_after_ms(call.context.rank, level),
+        levels=((service, level),),
+    )
--- a/packages/sassafras-node/src/sassafras_node/peers/views.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/views.py
@@ -1,22 +1,36 @@
-"""What this node has seen of the targets of other nodes."""
-
-import dataclasses
+"""What this node has seen of the targets of a service, its own included."""
 
+from sassafras_base import clock as clocks
+from sassafras_base import events
+from sassafras_policy.balancing import balancers
+from sassafras_policy.balancing import health
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.membership import records
+
+
+@events.declare(312, "WARNING")
+def target_ejected(node_id: str, ejection_s: float) -> str:
+    """A target failed repeatedly or cannot be reached; it gets no calls.
+
+    It is tried again after the time given. Look at the target and its node.
+    """
+    return f"target of {node_id} is out of the choice for {ejection_s:.0f} s"
 
 
-@dataclasses.dataclass(slots=True)
 class PeerView:
     """One target as seen from here."""
 
-    in_flight: int = 0
-    load: float = 0.0
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.health = health.TargetHealth()
 
 
 class PeerViews:
-    """Calls in flight and reported load for each peer."""
+    """Calls in flight, load and health of each target."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
         self._views: dict[str, PeerView] = {}
 
     def started(self, node_id: str) -> None:
@@ -28,20 +42,69 @@
         self._view(node_id).in_flight -= 1
 
     def heard(self, node_id: str, answer: messages.Answer) -> None:
-        """Takes over the load that an answer carried."""
-        self._view(node_id).load = answer.load
+        """Takes over the load that an answer carried and how the call ended."""
+        target = self._view(node_id).health
+        now = self._clock.now()
+        if _is_failure(answer):
+            target.reported(answer.load, now)
+            unreachable = answer.reason is outcomes.Reason.UNREACHABLE
+            self._note_failure(node_id, at_once=unreachable)
+        elif answer.outcome is outcomes.Outcome.RAN:
+            target.succeeded(answer.load, now)
+        else:
+            target.reported(answer.load, now)
 
     def failed(self, node_id: str) -> None:
-        """Notes that a call could not be completed."""
-        self._view(node_id).load = 1.0
+        """Notes that the peer was lost or could not be reached."""
+        self._note_failure(node_id, at_once=True)
 
     def in_flight(self, node_id: str) -> int:
         """Returns this node's calls in flight at a peer."""
         return self._view(node_id).in_flight
 
     def load(self, node_id: str) -> float:
-        """Returns the last load heard."""
-        return self._view(node_id).load
+        """Returns the last load heard, fading with its age."""
+        return self._view(node_id).health.load(self._clock.now())
+
+    def is_ejected(self, node_id: str) -> bool:
+        """Returns whether a target is out of the choice."""
+        return self._view(node_id).health.is_ejected(self._clock.now())
+
+    def candidate(
+        self, record: records.NodeRecord, own: records.NodeRecord
+    ) -> balancers.Candidate:
+        """Returns a target as the balancer sees it."""
+        view = self._view(record.node_id)
+        target = view.health
+        now = self._clock.now()
+        target.met((record.incarnation, record.target_address), now)
+        return balancers.Candidate(
+            node_id=record.node_id,
+            same_zone=record.availability_zone == own.availability_zone,
+            in_flight=view.in_flight,
+            load=target.load(now),
+            capacity=record.slots * target.share(record.cold_start_s, now),
+            errors=target.errors(now),
+            ejected=target.is_ejected(now),
+        )
+
+    def _note_failure(self, node_id: str, at_once: bool) -> None:
+        target = self._view(node_id).health
+        if target.failed(self._clock.now(), at_once):
+            target_ejected(node_id, target.ejection_s)
 
     def _view(self, node_id: str) -> PeerView:
         return self._views.setdefault(node_id, PeerView())
+
+
+def _is_failure(answer: messages.Answer) -> bool:
+    """Returns whether an answer shows a fault of the target itself.
+
+    A refusal shows none, and an error after a failed sub-call belongs to
+    another service.
+    """
+    if answer.outcome is outcomes.Outcome.RAN:
+        return answer.status >= 500 and not answer.sub_call_failed
+    if answer.outcome is outcomes.Outcome.UNKNOWN:
+        return answer.reason is not outcomes.Reason.DEADLINE
+    return answer.reason is outcomes.Reason.UNREACHABLE
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -7,6 +7,7 @@
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_base import supervision
+from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
@@ -77,6 +78,7 @@
       credentials: Identity and peer secret.
       drain: Work in flight and planned stop.
       target: The target beside the node; fed by the target's session.
+      heard_levels: Admission levels of services, learnt from answers.
       peer_views: Targets of other nodes as seen from here.
       peer_pools: Call connections to peers.
       silence: When neighbours were last heard.
@@ -128,7 +130,8 @@
             idle_timeout_s=http.idle_timeout_s,
         )
         self.target = beside.TargetBeside(settings, clock)
-        self.peer_views = views.PeerViews()
+        self.heard_levels = levels.HeardLevels()
+        self.peer_views = views.PeerViews(clock)
         self.peer_pools = peer_pool.PeerPools(
             self.credentials, settings.peers.connections_per_peer
         )
--- a/packages/sassafras-node/src/sassafras_node/targets/beside.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/beside.py
@@ -6,6 +6,8 @@
 from sassafras_wire.http import pool
 from sassafras_wire.settings import node as node_settings
 
+from sassafras_node.targets import gate as gates
+
 _CONNECT_TIMEOUT_S = 1.0
 _STEP = "target.call"
 
@@ -14,7 +16,7 @@
     """The target's last announcement, its connections and its admission.
 
     Attributes:
-      admission: Decides which calls the target gets.
+      gate: Lets calls in.
       pool: Connections to the target.
     """
 
@@ -26,7 +28,7 @@
         self._announcement: records.Announcement | None = None
         self._heard_at = 0.0
         self._class_count = 1
-        self.admission = self._new_admission(1)
+        self.gate = self._new_gate(1)
         self.pool = self._new_pool("127.0.0.1:1", 1)
 
     @property
@@ -45,7 +47,7 @@
     @property
     def has_room(self) -> bool:
         """Whether a call would start at once."""
-        return self.is_serving and self.admission.load < 1.0
+        return self.is_serving and self.gate.load < 1.0
 
     @property
     def silent_s(self) -> float:
@@ -57,7 +59,7 @@
         if class_count != self._class_count:
             self._class_count = class_count
             if self._announcement is not None:
-                self.admission = self._new_admission(self._announcement.slots)
+                self.gate.resize(_places(self._announcement), class_count)
 
     async def announce(self, announcement: records.Announcement) -> None:
         """Takes over an announcement from the target."""
@@ -69,19 +71,20 @@
             self.pool = self._new_pool(
                 announcement.address, announcement.connections
             )
-            self.admission = self._new_admission(announcement.slots)
-        elif known.slots != announcement.slots:
-            self.admission = self._new_admission(announcement.slots)
+            self.gate = self._new_gate(_places(announcement))
+        elif _places(known) != _places(announcement):
+            self.gate.resize(_places(announcement), self._class_count)
 
     async def withdraw(self) -> None:
         """Forgets a target that announces itself no more."""
         self._announcement = None
         await self.pool.close()
 
-    def _new_admission(self, slots: int) -> policies.AdmissionPolicy:
+    def _new_gate(self, slots: int) -> gates.Gate:
         name = self._settings.policy.admission
         factory = policies.admission_policies.get(name)
-        return factory(slots, self._class_count)  # type: ignore[call-arg]
+        policy = factory(slots, self._class_count)  # type: ignore[call-arg]
+        return gates.Gate(policy, self._clock)
 
     def _new_pool(self, address: str, connections: int) -> pool.ConnectionPool:
         return pool.ConnectionPool(
@@ -91,3 +94,11 @@
             body_limit=self._settings.http.body_bytes,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
         )
+
+
+def _places(announcement: records.Announcement) -> int:
+    """Returns how many calls may run at once, as far as announced.
+
+    Calls beyond the connections would wait where no queue is ordered.
+    """
+    return min(announcement.slots, announcement.connections)
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -18,6 +18,8 @@
       in_flight: Calls that this node has in flight there.
       load: Load that its last answer carried, 1.0 when its limit is in use.
       capacity: Calls that it can run at once, scaled down during slow start.
+      errors: Its recent errors; each counts as a call in flight.
+      ejected: Whether it is out of the choice because of errors.
     """
 
     node_id: str
@@ -25,11 +27,14 @@
     in_flight: int
     load: float
     capacity: float
+    errors: float = 0.0
+    ejected: bool = False
 
     @property
     def score(self) -> float:
         """Expected utilisation; lower is better."""
-        return self.load + (self.in_flight + 1) / max(self.capacity, 1.0)
+        calls = self.in_flight + self.errors + 1
+        return self.load + calls / max(self.capacity, 1.0)
 
 
 class Balancer(Protocol):
@@ -40,6 +45,19 @@
         ...
 
 
+def without_ejected(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Returns the candidates to choose from.
+
+    At most half of the targets are left out, those with the most recent
+    errors first; when more fail, the cause is unlikely to be in the targets,
+    and the rest could not take the calls of all.
+    """
+    ejected = [c for c in candidates if c.ejected]
+    ejected.sort(key=lambda c: (-c.errors, c.node_id))
+    left_out = {c.node_id for c in ejected[: len(candidates) // 2]}
+    return [c for c in candidates if c.node_id not in left_out]
+
+
 BalancerFactory = type[Balancer]
 
 balancers: registry.Registry[BalancerFactory] = registry.Registry("balancer")
@@ -60,11 +78,12 @@
         """See Balancer."""
         if not candidates:
             return None
-        local = [c for c in candidates if c.same_zone and c.score < 1.0]
-        pool = local or candidates
+        usable = without_ejected(candidates)
+        local = [c for c in usable if c.same_zone and c.score < 1.0]
+        pool = local or usable
         if len(pool) == 1:
             return pool[0]
-        first, second = self._random.sample(list(pool), 2)
+        first, second = self._random.sample(pool, 2)
         return first if first.score <= second.score else second
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -88,6 +88,8 @@
       load: Load of the target that answered, 1.0 when its limit is in use.
       leaving: Whether that target takes no more work.
       retryable: Whether another target of the service may be tried.
+      sub_call_failed: Whether a call that the target made to another service
+        failed, so that an error is not the target's own.
     """
 
     outcome: outcomes.Outcome
@@ -100,6 +102,7 @@
     load: float = 0.0
     leaving: bool = False
     retryable: bool = False
+    sub_call_failed: bool = False
 
 
 def refusal(
@@ -109,6 +112,7 @@
     *,
     retry_after_ms: int = 0,
     retryable: bool = False,
+    levels: tuple[tuple[str, int], ...] = (),
 ) -> Answer:
     """Returns an answer that says the request did not run."""
     return Answer(
@@ -118,6 +122,7 @@
         headers=(("content-type", "text/plain; charset=utf-8"),),
         body=f"not run: {detail}\n".encode(),
         retry_after_ms=retry_after_ms,
+        levels=levels,
         retryable=retryable,
     )
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
@@ -25,6 +25,7 @@
         load=answer.load,
         leaving=answer.leaving,
         retryable=answer.retryable,
+        sub_call_failed=answer.sub_call_failed,
     )
 
 
@@ -45,6 +46,7 @@
         load=message.load,
         leaving=message.leaving,
         retryable=message.retryable,
+        sub_call_failed=message.sub_call_failed,
     )
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -97,6 +97,7 @@
     load: float = 0.0
     leaving: bool = False
     retryable: bool = False
+    sub_call_failed: bool = False
 
 
 @message_types.register("retry_ask")
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -118,7 +118,7 @@
 
     balancer: Annotated[str, _registered(balancers.balancers)] = "power-of-two"
     admission: Annotated[str, _registered(policies.admission_policies)] = (
-        "slots"
+        "adaptive"
     )
     limiter: Annotated[str, _registered(limiters.limiters)] = "static-share"
 
--- /dev/null
+++ b/tests/contract/test_admission_decisions.py
@@ -0,0 +1,313 @@
+"""Decisions of the admission policies, without processes or waiting."""
+
+import random
+
+import pytest
+from sassafras_policy.admission import concurrency
+from sassafras_policy.admission import levels
+from sassafras_policy.admission import policies
+from sassafras_policy.admission import queueing
+from sassafras_policy.calls import messages
+
+CLASSES = 3
+OPEN = levels.open_level(CLASSES)
+
+
+def _context(priority=2, bucket=0, deadline=1000.0, depth=0):
+    return messages.CallContext(
+        root_id="root",
+        organisation="bank",
+        priority=priority,
+        bucket=bucket,
+        deadline=deadline,
+        depth=depth,
+        at_most_once=False,
+    )
+
+
+def _drive_limit(limit, latency_of, seconds, start=0.0, wanted=10_000):
+    """Keeps a target busy up to the limit; returns the time at the end."""
+    now = start
+    while now < start + seconds:
+        running = min(limit.value, wanted)
+        latency_s = latency_of(running)
+        # One call ends each `latency / running` seconds.
+        now += latency_s / running
+        limit.observe(latency_s, True, running, now)
+    return now
+
+
+@pytest.mark.parametrize(
+    ("announced", "real", "lowest", "highest"),
+    [
+        # The lowest values are those of a trial, an eighth below the limit.
+        (8, 8, 7, 8),
+        (100, 100, 87, 100),
+        (40, 10, 8, 16),
+        (1, 1, 1, 1),
+    ],
+)
+def test_the_limit_finds_the_real_slots(announced, real, lowest, highest):
+    """Guards against trust in announced slots and against lost throughput."""
+    limit = concurrency.ConcurrencyLimit(announced)
+    seen = []
+    now = 0.0
+    for _ in range(200):
+        now = _drive_limit(
+            limit, lambda running: 0.1 * max(1.0, running / real), 0.1, now
+        )
+        seen.append(limit.value)
+    assert lowest <= min(seen[100:])
+    assert max(seen[100:]) <= highest
+    assert sum(seen[100:]) / len(seen[100:]) >= 0.97 * min(announced, real)
+
+
+def test_a_target_that_is_slower_by_itself_keeps_its_limit():
+    """Guards against a limit that falls although that shortens no latency."""
+    limit = concurrency.ConcurrencyLimit(8)
+    now = _drive_limit(limit, lambda running: 0.1, 5.0)
+    assert limit.value == 8
+    _drive_limit(limit, lambda running: 0.2, 5.0, now)
+    assert limit.value == 8
+
+
+def test_random_service_times_leave_most_of_the_limit():
+    """Guards against a limit that falls because of chance."""
+    rng = random.Random(3)
+    limit = concurrency.ConcurrencyLimit(20)
+    now = 0.0
+    seen = []
+    for _ in range(300):
+        now = _drive_limit(
+            limit, lambda running: 0.1 * rng.expovariate(1.0), 0.1, now
+        )
+        seen.append(limit.value)
+    assert sum(seen[50:]) / len(seen[50:]) >= 16
+
+
+def test_calls_without_an_answer_lower_the_limit_and_answers_raise_it():
+    """Guards against a target that hangs and keeps all its places."""
+    limit = concurrency.ConcurrencyLimit(16)
+    now = _drive_limit(limit, lambda running: 0.1, 5.0)
+    for _ in range(200):
+        now += 0.1
+        limit.observe(1.0, False, limit.value, now)
+    assert limit.value == 1
+    _drive_limit(limit, lambda running: 0.1, 5.0, now)
+    assert limit.value == 16
+
+
+def test_quick_errors_do_not_change_the_limit():
+    """Guards against errors that pass for a very fast target."""
+    limit = concurrency.ConcurrencyLimit(8)
+    now = _drive_limit(limit, lambda running: 0.1, 5.0)
+    for _ in range(100):
+        now += 0.01
+        limit.observe(0.001, False, 8, now)
+    assert limit.value == 8
+    assert limit.baseline_s == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize(
+    ("arrivals", "expected"),
+    [
+        # (priority, deadline) in order of arrival; order of dequeue.
+        ([(2, 9.0), (0, 9.0), (1, 9.0)], [1, 2, 0]),
+        ([(1, 9.0), (1, 5.0), (1, 7.0)], [1, 2, 0]),
+        ([(1, 5.0), (1, 5.0), (1, 5.0)], [0, 1, 2]),
+    ],
+)
+def test_the_queue_is_ordered_by_class_then_deadline(arrivals, expected):
+    """Guards against important calls that wait behind others (G2)."""
+    queue = queueing.WaitingQueue()
+    tickets = [queue.push(p, d, 10, 0.0)[0] for p, d in arrivals]
+    assert [tickets.index(queue.pop()) for _ in arrivals] == expected
+
+
+def test_a_full_queue_gives_up_its_least_important_call():
+    """Guards against an at-most-once call refused for a status check (G2)."""
+    queue = queueing.WaitingQueue()
+    first, _ = queue.push(2, 9.0, 1, 0.0)
+    second, _ = queue.push(2, 8.0, 1, 0.0)
+    ticket, displaced = queue.push(0, 9.0, 1, 0.0)
+    assert displaced == first
+    assert queue.push(2, 9.5, 1, 0.0) == (None, None)
+    assert [queue.pop(), queue.pop(), queue.pop()] == [ticket, second, None]
+
+
+def test_a_late_call_is_dropped_at_dequeue():
+    """Guards against work for an answer that nobody awaits."""
+    policy = policies.Adaptive(1, CLASSES)
+    assert policy.decide(_context(), 0.0).admitted
+    late = policy.decide(_context(deadline=0.05), 0.0).ticket
+    in_time = policy.decide(_context(deadline=5.0), 0.0).ticket
+    policy.finished(0.06, True, 0.06)
+    release = policy.release(0.06)
+    assert release.late == (late,)
+    assert release.admitted == (in_time,)
+
+
+def test_a_wait_ends_with_the_deadline_or_after_the_longest_wait():
+    """Guards against calls that wait longer than their callers."""
+    ticket = queueing.Ticket(0, 0.03, 1, 0.0)
+    assert ticket.wait_s(0.01) == pytest.approx(0.02)
+    ticket = queueing.Ticket(0, 9.0, 1, 0.0)
+    assert ticket.wait_s(0.0) == queueing.MAXIMUM_WAIT_S
+    assert ticket.wait_s(9.0) == 0.0
+
+
+def test_important_calls_may_wait_for_a_slow_target():
+    """Guards against at-most-once calls refused for a slow service (G2)."""
+    policy = policies.Adaptive(1, CLASSES)
+    now = 0.0
+    for _ in range(20):
+        assert policy.decide(_context(), now).admitted
+        now += 0.4
+        policy.finished(0.4, True, now)
+    policy.decide(_context(), now)
+    status = policy.decide(_context(priority=2), now).ticket
+    lodgement = policy.decide(_context(priority=1), now).ticket
+    assert status.wait_s(now) == pytest.approx(queueing.MAXIMUM_WAIT_S)
+    assert lodgement.wait_s(now) == pytest.approx(0.8)
+
+
+def test_calls_that_wait_for_another_service_leave_the_limit_free():
+    """Guards against a slow deep service that stops the targets above it."""
+    policy = policies.Adaptive(4, CLASSES)
+    now = 0.0
+    started = 0
+    while policy.decide(_context(), now).admitted:
+        started += 1
+        policy.paused()
+    assert started == 4, "paused calls still take one of the announced slots"
+
+
+def _overload(controller, now, windows, rng):
+    """Feeds windows in which most calls of all classes got no place."""
+    for _ in range(windows):
+        for _ in range(20):
+            controller.arrived(rng.randrange(OPEN), now)
+            controller.dropped(queueing.MAXIMUM_WAIT_S)
+        controller.found_full()
+        now += 0.11
+        controller.value(now)
+    return now
+
+
+def test_the_level_sheds_the_least_important_class_first():
+    """Guards against refusals of at-most-once calls for status checks (G2)."""
+    controller = levels.LevelController(CLASSES)
+    rng = random.Random(7)
+    now = _overload(controller, 0.0, 1, rng)
+    level = controller.value(now)
+    assert 2 * messages.BUCKET_COUNT <= level < OPEN
+    assert not levels.refuses(level, _context(priority=0, bucket=127))
+    assert not levels.refuses(level, _context(priority=1, bucket=127))
+    assert levels.refuses(level, _context(priority=2, bucket=127))
+
+
+def test_the_level_skips_classes_without_calls():
+    """Guards against a level that rises through ranks that nobody uses."""
+    controller = levels.LevelController(CLASSES)
+    now = 0.0
+    rng = random.Random(7)
+    for _ in range(3):
+        for _ in range(20):
+            controller.arrived(rng.randrange(messages.BUCKET_COUNT), now)
+            controller.dropped(queueing.MAXIMUM_WAIT_S)
+        now += 0.11
+    assert controller.value(now) < messages.BUCKET_COUNT
+
+
+@pytest.mark.parametrize("windows", [3, 50])
+def test_the_level_opens_by_itself_in_silence(windows):
+    """Guards against a level that stays raised when no calls come."""
+    controller = levels.LevelController(CLASSES)
+    now = _overload(controller, 0.0, windows, random.Random(7))
+    assert not controller.is_open
+    assert controller.value(now + 5.0) == OPEN
+
+
+def test_the_level_opens_under_steady_calls_after_a_surge():
+    """Guards against a level that stays raised while calls find room."""
+    controller = levels.LevelController(CLASSES)
+    now = _overload(controller, 0.0, 50, random.Random(7))
+    end = now + 5.0
+    while now < end:
+        now += 0.05
+        controller.arrived(300, now)
+        controller.waited(0.0)
+    assert controller.value(now) == OPEN
+
+
+def test_some_call_always_passes_the_level():
+    """Guards against a service that can never show that it is well again."""
+    controller = levels.LevelController(CLASSES)
+    now = _overload(controller, 0.0, 500, random.Random(7))
+    level = controller.value(now)
+    assert not levels.refuses(level, _context(priority=0, bucket=0))
+
+
+def test_a_free_place_is_never_refused_by_the_level():
+    """Guards against an idle target while its level is still raised."""
+    policy = policies.Adaptive(4, CLASSES)
+    while policy.decide(_context(), 0.0).admitted:
+        pass
+    now = 0.0
+    for _ in range(30):
+        for bucket in range(20):
+            policy.decide(_context(bucket=bucket), now)
+        now += 0.11
+    assert policy.level(now) < 2 * messages.BUCKET_COUNT + 20
+    assert not policy.decide(_context(bucket=127), now).ticket
+    policy.unused()
+    policy.release(now)
+    while len(policy.release(now).admitted):
+        policy.unused()
+    for _ in range(4):
+        policy.unused()
+        policy.release(now)
+    assert policy.decide(_context(bucket=127), now).admitted
+
+
+def test_heard_levels_refuse_upstream_and_fade_in_silence():
+    """Guards against refusals by a level that nobody has confirmed."""
+    heard = levels.HeardLevels()
+    reached = frozenset(["desk", "ledger"])
+    status = _context(priority=2, bucket=64)
+    assert heard.refusing(reached, status, OPEN, 0.0) is None
+    heard.heard("ledger", 2 * messages.BUCKET_COUNT + 10, 0.0)
+    assert heard.refusing(reached, status, OPEN, 0.1) == ("ledger", 266)
+    assert heard.refusing(frozenset(["desk"]), status, OPEN, 0.1) is None
+    assert heard.refusing(reached, status, OPEN, 5.0) is None
+
+
+def test_a_small_change_of_the_level_does_not_stop_an_admitted_request():
+    """Guards against sub-calls refused after work was done for them."""
+    level = 2 * messages.BUCKET_COUNT + 10
+    assert levels.refuses(level, _context(bucket=12, depth=0))
+    assert not levels.refuses(level, _context(bucket=12, depth=1))
+    assert levels.refuses(level, _context(bucket=60, depth=1))
+
+
+def test_heard_levels_are_the_mean_of_a_services_targets():
+    """Guards against one slow target that closes its whole service."""
+    heard = levels.HeardLevels()
+    now = 0.0
+    for _ in range(100):
+        now += 0.01
+        heard.heard("ledger", OPEN, now)
+        now += 0.01
+        heard.heard("ledger", 256, now)
+    assert 300 < heard.value("ledger", OPEN, now) < 340
+
+
+@pytest.mark.parametrize(
+    ("name", "admitted"), [("slots", 4), ("unlimited", 50), ("adaptive", 2)]
+)
+def test_policies_by_name(name, admitted):
+    """Guards against baselines that share the default's decisions."""
+    policy = policies.admission_policies.get(name)(4, CLASSES)
+    results = [policy.decide(_context(), 0.0).admitted for _ in range(50)]
+    assert sum(results) == admitted
+    assert policy.level(0.0) == OPEN
--- /dev/null
+++ b/tests/contract/test_overload_path.py
@@ -0,0 +1,334 @@
+"""The path of a call through a node under overload, with fakes at its ends."""
+
+import types
+
+from sassafras_base import clock as clocks
+from sassafras_base import errors
+from sassafras_node.calls import contexts
+from sassafras_node.calls import dispatch
+from sassafras_node.calls import entry
+from sassafras_node.calls import local
+from sassafras_node.calls import shedding
+from sassafras_node.peers import views
+from sassafras_node.targets import beside
+from sassafras_node.targets import gate as gates
+from sassafras_policy.admission import levels
+from sassafras_policy.admission import policies
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.configuration import indexes
+from sassafras_policy.membership import records
+from sassafras_standins.fleet import samples
+from sassafras_wire.http import client as http_client
+from sassafras_wire.settings import node as node_settings
+import trio
+
+OWN_ID = "10.0.0.1:7401"
+OPEN = levels.open_level(len(samples.CLASSES))
+
+
+class FakeTargetPool:
+    """A target whose answer takes a while; notes what was cut off."""
+
+    def __init__(self, answer_s=0.05, status=200, error=None):
+        self.answer_s = answer_s
+        self.status = status
+        self.error = error
+        self.requests = []
+        self.cut = 0
+        self.during = None
+
+    async def exchange(self, request):
+        self.requests.append(request)
+        if self.error is not None:
+            raise self.error
+        try:
+            if self.during is not None:
+                await self.during(request)
+            await trio.sleep(self.answer_s)
+        except trio.Cancelled:
+            self.cut += 1
+            raise
+        return http_client.Response(self.status, (), b"")
+
+
+def _runtime(pool, slots=4, policy=policies.Adaptive):
+    clock = clocks.TrioClock()
+    own = records.NodeRecord(
+        node_id=OWN_ID,
+        availability_zone="zone-a",
+        incarnation=1,
+        version=1,
+        status=records.Status.ALIVE,
+        service="desk",
+        target_state=records.TargetState.SERVING,
+        slots=slots,
+    )
+    gate = gates.Gate(policy(slots, len(samples.CLASSES)), clock)
+    return types.SimpleNamespace(
+        clock=clock,
+        configuration=types.SimpleNamespace(
+            index=indexes.Index(samples.document())
+        ),
+        contexts=contexts.ContextTable(),
+        drain=types.SimpleNamespace(is_draining=False),
+        heard_levels=levels.HeardLevels(),
+        peer_views=views.PeerViews(clock),
+        table=types.SimpleNamespace(own_id=OWN_ID, own=own),
+        target=types.SimpleNamespace(is_serving=True, gate=gate, pool=pool),
+    )
+
+
+def _call(priority=2, bucket=0, deadline_s=5.0, depth=0):
+    return contexts.ActiveCall(
+        context=messages.CallContext(
+            root_id="root",
+            organisation="national-bank",
+            priority=priority,
+            bucket=bucket,
+            deadline=trio.current_time() + deadline_s,
+            depth=depth,
+            at_most_once=False,
+        ),
+        authority=None,
+    )
+
+
+def _request(path="/desk/1", **headers):
+    return messages.Request("GET", path, tuple(headers.items()), b"")
+
+
+async def test_a_deadline_that_passes_cuts_the_call_off_at_the_target():
+    """Guards against targets that work for answers that nobody awaits."""
+    pool = FakeTargetPool(answer_s=60.0)
+    runtime = _runtime(pool)
+    answer = await local.serve(runtime, _request(), _call(deadline_s=0.5))
+    assert pool.cut == 1
+    assert answer.outcome is outcomes.Outcome.UNKNOWN
+    assert answer.reason is outcomes.Reason.DEADLINE
+    assert runtime.target.gate.load == 0.0
+
+
+async def test_a_caller_that_leaves_cuts_the_call_off_at_the_target():
+    """Guards against work for callers that have gone."""
+    pool = FakeTargetPool(answer_s=60.0)
+    runtime = _runtime(pool)
+    with trio.move_on_after(0.1):
+        await local.serve(runtime, _request(), _call(deadline_s=100.0))
+    assert pool.cut == 1
+    assert runtime.target.gate.load == 0.0
+
+
+async def test_calls_beyond_the_queue_are_refused_before_the_target():
+    """Guards against a target that is handed more than it can run."""
+    pool = FakeTargetPool(answer_s=1.0)
+    runtime = _runtime(pool, slots=1)
+    answers = []
+
+    async def one():
+        answers.append(await local.serve(runtime, _request(), _call()))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(10):
+            nursery.start_soon(one)
+    refused = [a for a in answers if a.outcome is outcomes.Outcome.NOT_RUN]
+    assert len(pool.requests) == 1
+    assert len(refused) == 9
+    for answer in refused:
+        assert answer.reason is outcomes.Reason.OVERLOAD
+        assert answer.retry_after_ms > 0
+        assert answer.load >= 1.0
+
+
+async def test_an_answer_carries_the_levels_of_deeper_services():
+    """Guards against first nodes that never hear of a deep overload."""
+    pool = FakeTargetPool()
+    runtime = _runtime(pool)
+    call = _call()
+    call.trace.learn(
+        messages.Answer(
+            outcome=outcomes.Outcome.RAN,
+            levels=(("accounts", OPEN), ("ledger", 270)),
+        )
+    )
+    answer = await local.serve(runtime, _request(), call)
+    assert dict(answer.levels) == {
+        "desk": OPEN,
+        "accounts": OPEN,
+        "ledger": 270,
+    }
+
+
+async def test_a_sub_call_leaves_its_levels_and_its_time_with_the_parent(
+    monkeypatch,
+):
+    """Guards against sub-call time that passes for a slow target."""
+
+    async def answer_sub_call(runtime, request, call):
+        await trio.sleep(1.0)
+        return messages.Answer(
+            outcome=outcomes.Outcome.RAN,
+            status=503,
+            levels=(("ledger", 270),),
+        )
+
+    monkeypatch.setattr(dispatch, "dispatch", answer_sub_call)
+    pool = FakeTargetPool(answer_s=0.02, status=502)
+    runtime = _runtime(pool)
+    call = _call()
+
+    async def sub_call(request):
+        fields = {"sassafras-context": request.header("sassafras-context")}
+        await entry.handle_sub_call(runtime, _request("/ledger/1", **fields))
+
+    pool.during = sub_call
+    answer = await local.serve(runtime, _request(), call)
+    assert dict(answer.levels)["ledger"] == 270
+    assert answer.sub_call_failed
+    assert call.trace.sub_call_s(trio.current_time()) == 1.0
+    assert runtime.target.gate.load == 0.0
+    assert runtime.heard_levels.value("ledger", OPEN, trio.current_time()) == (
+        270
+    )
+
+
+async def test_the_first_node_refuses_by_the_levels_of_reached_services(
+    monkeypatch,
+):
+    """Guards against work upstream of a service that refuses anyway."""
+    dispatched = []
+
+    async def note(runtime, request, call):
+        dispatched.append(request.path)
+        return messages.Answer(outcome=outcomes.Outcome.RAN)
+
+    monkeypatch.setattr(dispatch, "dispatch", note)
+    runtime = _runtime(FakeTargetPool())
+    runtime.heard_levels.heard("ledger", 270, trio.current_time())
+    refused = await shedding.serve(runtime, _request(), _call(bucket=20))
+    assert refused.outcome is outcomes.Outcome.NOT_RUN
+    assert refused.reason is outcomes.Reason.OVERLOAD
+    assert refused.retry_after_ms > 0
+    assert refused.levels == (("ledger", 270),)
+    assert not dispatched
+    await shedding.serve(runtime, _request(), _call(bucket=5))
+    await shedding.serve(runtime, _request(), _call(priority=0, bucket=127))
+    assert len(dispatched) == 2
+    await trio.sleep(5.0)
+    await shedding.serve(runtime, _request(), _call(bucket=127))
+    assert len(dispatched) == 3
+
+
+async def test_a_request_with_an_answer_from_another_service_goes_on(
+    monkeypatch,
+):
+    """Guards against lost work of a service that has already answered."""
+
+    async def answer(runtime, request, call):
+        return messages.Answer(outcome=outcomes.Outcome.RAN)
+
+    monkeypatch.setattr(dispatch, "dispatch", answer)
+    runtime = _runtime(FakeTargetPool())
+    parent = contexts.CallTrace()
+    late = _call(bucket=127, depth=1)
+    runtime.heard_levels.heard("ledger", 270, trio.current_time())
+    refused = await shedding.serve(runtime, _request(), late, parent)
+    assert refused.outcome is outcomes.Outcome.NOT_RUN
+    parent.learn(refused)
+    refused = await shedding.serve(runtime, _request(), late, parent)
+    assert refused.outcome is outcomes.Outcome.NOT_RUN
+    parent.learn(messages.Answer(outcome=outcomes.Outcome.RAN))
+    passed = await shedding.serve(runtime, _request(), late, parent)
+    assert passed.outcome is outcomes.Outcome.RAN
+
+
+async def test_failures_of_deeper_services_do_not_eject_a_target():
+    """Guards against healthy targets ejected for another service's fault."""
+    runtime = _runtime(FakeTargetPool())
+    answer = messages.Answer(
+        outcome=outcomes.Outcome.RAN, status=502, sub_call_failed=True
+    )
+    refusal = messages.refusal(outcomes.Reason.OVERLOAD, 503, "full")
+    for _ in range(50):
+        runtime.peer_views.heard("peer", answer)
+        runtime.peer_views.heard("peer", refusal)
+    assert not runtime.peer_views.is_ejected("peer")
+
+
+async def test_a_target_that_fails_fast_is_ejected_and_tried_again():
+    """Guards against fast failures that attract all calls."""
+    runtime = _runtime(FakeTargetPool(answer_s=0.0, status=500))
+    for _ in range(5):
+        await local.serve(runtime, _request(), _call())
+    assert runtime.peer_views.is_ejected(OWN_ID)
+    await trio.sleep(5.0)
+    assert not runtime.peer_views.is_ejected(OWN_ID)
+
+
+async def test_a_target_that_cannot_be_reached_is_ejected_at_once():
+    """Guards against calls to a target that has crashed."""
+    error = errors.UnreachableError("target.call", "target", "refused")
+    runtime = _runtime(FakeTargetPool(error=error))
+    answer = await local.serve(runtime, _request(), _call())
+    assert answer.retryable
+    assert runtime.peer_views.is_ejected(OWN_ID)
+
+
+async def test_the_own_target_is_left_out_while_it_is_ejected():
+    """Guards against a failing target that its own node prefers."""
+    runtime = _runtime(FakeTargetPool())
+    own = runtime.table.own
+    peer = records.NodeRecord(
+        node_id="10.0.0.2:7401",
+        availability_zone="zone-a",
+        incarnation=1,
+        version=1,
+        status=records.Status.ALIVE,
+        service="desk",
+        target_state=records.TargetState.SERVING,
+        slots=4,
+    )
+    candidates = []
+
+    def choose(found):
+        candidates.extend(found)
+        return next(c for c in found if not c.ejected)
+
+    runtime.table.serving = lambda service: [own, peer]
+    runtime.table.get = {own.node_id: own, peer.node_id: peer}.get
+    runtime.target.has_room = True
+    runtime.balancer = types.SimpleNamespace(choose=choose)
+    assert dispatch._choose(runtime, "desk", set()) is own
+    runtime.peer_views.failed(OWN_ID)
+    assert dispatch._choose(runtime, "desk", set()) is peer
+    assert [c.ejected for c in candidates] == [True, False]
+
+
+async def test_a_target_that_misreports_its_load_still_gets_calls():
+    """Guards against trust in the load that targets report."""
+    settings = node_settings.NodeSettings(
+        host=node_settings.HostSection(
+            availability_zone="zone-a",
+            caller_address="10.0.0.1:7400",
+            target_address="127.0.0.1:7402",
+            peer_address=OWN_ID,
+            admin_address="127.0.0.1:7403",
+        ),
+        peers=node_settings.PeersSection(secret_file="secret"),
+    )
+    target = beside.TargetBeside(settings, clocks.TrioClock())
+    for load in (0.0, 50.0):
+        await target.announce(
+            records.Announcement(
+                address="127.0.0.1:9000",
+                service="desk",
+                slots=4,
+                connections=2,
+                cold_start_s=0.0,
+                state=records.TargetState.SERVING,
+                load=load,
+            )
+        )
+        assert target.has_room
+        assert target.gate.load == 0.0
+    assert target.gate.limit <= 2, "calls beyond the connections would wait"
--- /dev/null
+++ b/tests/processes/test_failing_targets.py
@@ -0,0 +1,90 @@
+"""Faults of one target among three, as real processes."""
+
+import dataclasses
+
+import pytest
+from sassafras_policy.calls import messages
+from sassafras_standins.fleet import launcher
+from sassafras_standins.fleet import samples
+from sassafras_standins.load import caller
+import trio
+
+pytestmark = pytest.mark.processes
+
+_CALLS_PER_S = 30
+_DEADLINE_MS = 1000
+_SETTLE_S = 2.0
+_SPAN_S = 4.0
+
+
+def _document():
+    base = samples.document()
+    return dataclasses.replace(
+        base,
+        routes=tuple(
+            dataclasses.replace(route, deadline_ms=_DEADLINE_MS)
+            for route in base.routes
+        ),
+    )
+
+
+async def _success_share(bank, span_s):
+    """Sends calls at a steady rate and returns the part that succeeded."""
+    statuses = []
+
+    async def one():
+        statuses.append((await bank.request("GET", "/ledger/1")).status)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(int(span_s * _CALLS_PER_S)):
+            nursery.start_soon(one)
+            await trio.sleep(1 / _CALLS_PER_S)
+    return statuses.count(200) / len(statuses)
+
+
+@pytest.mark.parametrize(
+    ("fault", "lowest"),
+    [
+        # The node beside the failed target still gets a third of the calls
+        # and must hand them to the others.
+        ("crash", 0.97),
+        ({"fail": True}, 0.85),
+        ({"hang": True}, 0.85),
+        ({"slow": 10}, 0.95),
+    ],
+    ids=["crash", "fail fast", "hang", "slow down"],
+)
+async def test_calls_go_on_when_one_of_three_targets_fails(fault, lowest):
+    """Guards against one failed target that takes a third of the calls down."""
+    places = [
+        launcher.make_place(
+            f"ledger-{number}",
+            "zone-a",
+            service="ledger",
+            slots=4,
+            service_ms=20.0,
+        )
+        for number in range(3)
+    ]
+    fleet = launcher.Fleet(places)
+    addresses = [place.caller_address for place in places]
+    key = (("authorization", f"Bearer {samples.NATIONAL_KEY}"),)
+    bank = caller.Caller(addresses, samples.NATIONAL_KEY)
+    try:
+        await fleet.start(_document())
+        for address in addresses:
+            await launcher.wait_until_serving(
+                address, messages.Request("GET", "/ledger/1", key, b"")
+            )
+        await _success_share(bank, _SETTLE_S)
+        if fault == "crash":
+            await fleet.kill("target-ledger-1")
+        else:
+            await fleet.control(
+                places[1].target.address, "/standin/behaviour", fault
+            )
+        await _success_share(bank, _SETTLE_S)
+        assert await _success_share(bank, _SPAN_S) >= lowest
+    finally:
+        await bank.close()
+        await fleet.close()
