Measure goodput, recovery and at-most-once calls under overload

A fleet of two desks, two accounts and two ledgers serves a chain of depth 3 with two ledger calls for each request, so that half-served requests waste the ledger's time. Load is open-loop with seeded arrivals. Each fleet gets a peer secret of its own: in one trial the ledgers ran 3.6 calls for each request instead of two, which nodes of another run on a reused port, with the same secret, would explain; the cause was not traced further.

--- a/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -25,7 +26,6 @@
 _START_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 20.0
 _BODY_LIMIT = 4 * 1024 * 1024
-_SECRET = "a-secret-for-loopback-fleets-only"
 
 CONFIGURATION_KEY = "/sassafras/config"
 
@@ -92,7 +92,9 @@
         self.folder = pathlib.Path(self._temporary.name)
         self._extra_settings = extra_settings
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        (self.folder / "secret").write_text(_SECRET)
+        # Fleets of other runs may get an address that was free a moment ago;
+        # a secret of its own keeps them from joining this one.
+        (self.folder / "secret").write_text(secrets.token_hex(16))
 
     async def start(self, document: documents.Document) -> None:
         """Starts everything and waits until all targets take calls."""
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/measure/overload.py
@@ -0,0 +1,327 @@
+"""Goodput and recovery of a call chain whose deepest service is overloaded.
+
+A fleet of two desks, two accounts and two ledgers serves a chain of depth 3;
+each request needs two calls to the ledger, so half-served requests waste its
+time. The ledger is the narrowest service by far, and its service time is long
+against the cost of a call, so that control and not CPU is measured. At half
+speed it carries 40 whole requests/s, which is the capacity that the figures
+refer to.
+
+`SASSAFRAS_MEASURE_ADMISSION` names another admission policy to compare with.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import os
+import random
+
+from sassafras_policy.calls import messages
+from sassafras_policy.configuration import document as documents
+import trio
+
+from sassafras_standins.fleet import launcher
+from sassafras_standins.fleet import samples
+from sassafras_standins.load import caller
+from sassafras_standins.measure import figures
+
+_SEED = 20
+_CAPACITY_PER_S = 40.0
+_LEDGER_SLOTS = 8
+_LEDGER_MS = 100.0
+_SLOW = 2
+_DEADLINE_MS = 1500
+
+_STEADY_PER_S = 30.0
+_LODGEMENTS_PER_S = 10.0
+_WARM_S = 5.0
+_SURGE_S = 20.0
+_AFTER_S = 10.0
+_WINDOW_S = 1.0
+_STEP_S = 0.25
+_RECOVERED_SHARE = 0.95
+
+# Callers wait for answers, so there are never more requests in the air.
+_MAXIMUM_OUTSTANDING = 400
+
+_STATUS = messages.Request("GET", "/desk/1", (), b"")
+_LODGEMENT = messages.Request("POST", "/desk/1", (), b"cheque")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """One request as its caller saw it.
+
+    Attributes:
+      kind: HTTP method, which tells the class.
+      sent: Seconds since the start of the run.
+      ended: The same for its answer.
+      success: Whether the whole answer came.
+    """
+
+    kind: str
+    sent: float
+    ended: float
+    success: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """All requests of a run and when its surge began and ended."""
+
+    samples: list[Sample]
+    surge_from: float
+    surge_to: float
+
+    @property
+    def goodput(self) -> float:
+        """Whole requests completed in the surge, in percent of capacity."""
+        completed = sum(
+            sample.success and self.surge_from <= sample.ended < self.surge_to
+            for sample in self.samples
+        )
+        span_s = self.surge_to - self.surge_from
+        return 100.0 * completed / span_s / _CAPACITY_PER_S
+
+    @property
+    def recovery_s(self) -> float:
+        """Time after the surge until every window is back at the level before.
+
+        A window counts the part of the requests sent in it that succeeded.
+        """
+        before = self._success_share(1.0, self.surge_from - _WINDOW_S)
+        recovered = 0.0
+        start = self.surge_to
+        while start + _WINDOW_S <= self.surge_to + _AFTER_S:
+            share = self._success_share(start, start + _WINDOW_S)
+            if share < _RECOVERED_SHARE * before:
+                recovered = start + _STEP_S - self.surge_to
+            start += _STEP_S
+        return recovered
+
+    def success_percent(self, kind: str) -> float:
+        """Returns successes among the requests of a kind sent in the surge."""
+        ended = [
+            sample.success
+            for sample in self.samples
+            if sample.kind == kind
+            and self.surge_from <= sample.sent < self.surge_to
+        ]
+        return 100.0 * sum(ended) / max(1, len(ended))
+
+    def _success_share(self, start: float, end: float) -> float:
+        ended = [s.success for s in self.samples if start <= s.sent < end]
+        return sum(ended) / max(1, len(ended))
+
+
+class Load:
+    """Open-loop load: requests are sent at their times, answered or not."""
+
+    def __init__(self, bank: caller.Caller, retries: int) -> None:
+        self.samples: list[Sample] = []
+        self._bank = bank
+        self._retries = retries
+        self._began = trio.current_time()
+        self._outstanding = 0
+
+    @property
+    def now(self) -> float:
+        """Seconds since the start."""
+        return trio.current_time() - self._began
+
+    async def offer(
+        self, request: messages.Request, rate_per_s: float, span_s: float
+    ) -> None:
+        """Sends requests at random times for a while, then awaits the last."""
+        rng = random.Random(f"{_SEED} {request.method} {rate_per_s}")
+        end = self.now + span_s
+        at = self.now
+        async with trio.open_nursery() as nursery:
+            while True:
+                at += rng.expovariate(rate_per_s)
+                if at >= end:
+                    break
+                await trio.sleep(max(0.0, at - self.now))
+                nursery.start_soon(self._send, request)
+            await trio.sleep(max(0.0, end - self.now))
+
+    async def _send(self, request: messages.Request) -> None:
+        sent = self.now
+        success = False
+        if self._outstanding < _MAXIMUM_OUTSTANDING:
+            self._outstanding += 1
+            try:
+                for _ in range(self._retries + 1):
+                    result = await self._bank.request(
+                        request.method, request.path, request.body
+                    )
+                    success = result.status == 200
+                    if success:
+                        break
+            finally:
+                self._outstanding -= 1
+        self.samples.append(Sample(request.method, sent, self.now, success))
+
+
+def _document() -> documents.Document:
+    base = samples.document(rate_per_s=10_000.0, burst=10_000.0)
+    return dataclasses.replace(
+        base,
+        routes=tuple(
+            dataclasses.replace(route, deadline_ms=_DEADLINE_MS)
+            for route in base.routes
+        ),
+    )
+
+
+def _places() -> list[launcher.Place]:
+    places = []
+    for number, zone in enumerate(("zone-a", "zone-b"), 1):
+        places += [
+            launcher.make_place(
+                f"desk-{number}",
+                zone,
+                service="desk",
+                slots=64,
+                connections=128,
+                service_ms=20.0,
+                sub_calls=["/accounts/1"],
+            ),
+            launcher.make_place(
+                f"accounts-{number}",
+                zone,
+                service="accounts",
+                slots=64,
+                connections=128,
+                service_ms=20.0,
+                sub_calls=["/ledger/1", "/ledger/2"],
+            ),
+            launcher.make_place(
+                f"ledger-{number}",
+                zone,
+                service="ledger",
+                slots=_LEDGER_SLOTS,
+                connections=256,
+                service_ms=_LEDGER_MS,
+            ),
+        ]
+    return places
+
+
+async def _set_ledgers(
+    fleet: launcher.Fleet, behaviour: dict[str, object]
+) -> None:
+    for place in fleet.places:
+        if place.target.service == "ledger":
+            await fleet.control(
+                place.target.address, "/standin/behaviour", behaviour
+            )
+
+
+async def _surge(
+    admission: str, rate_per_s: float, retries: int, lodgements: bool
+) -> Run:
+    """Runs a fleet through steady load, a surge and steady load again."""
+    fleet = launcher.Fleet(_places(), f"[policy]\nadmission = {admission}\n")
+    addresses = [place.caller_address for place in fleet.places]
+    bank = caller.Caller(addresses, samples.NATIONAL_KEY)
+    key = (("authorization", f"Bearer {samples.NATIONAL_KEY}"),)
+    try:
+        await fleet.start(_document())
+        for address in addresses:
+            await launcher.wait_until_serving(
+                address, dataclasses.replace(_STATUS, headers=key)
+            )
+        load = Load(bank, retries)
+        await load.offer(_STATUS, _STEADY_PER_S, _WARM_S)
+        await _set_ledgers(fleet, {"slow": _SLOW})
+        surge_from = load.now
+        surge_to = surge_from + _SURGE_S
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load.offer, _STATUS, rate_per_s, _SURGE_S)
+            if lodgements:
+                nursery.start_soon(
+                    load.offer, _LODGEMENT, _LODGEMENTS_PER_S, _SURGE_S
+                )
+            await trio.sleep(surge_to - load.now)
+            await _set_ledgers(fleet, {})
+            nursery.start_soon(load.offer, _STATUS, _STEADY_PER_S, _AFTER_S)
+        return Run(load.samples, surge_from, surge_to)
+    finally:
+        await bank.close()
+        await fleet.close()
+
+
+# Goodput and recovery are two figures of one run.
+_runs: dict[str, Run] = {}
+_CONDITIONS: dict[str, Callable[[str], tuple[str, float, int, bool]]] = {
+    "2x": lambda policy: (policy, 2 * _CAPACITY_PER_S, 0, False),
+    "5x_retries": lambda policy: (policy, 5 * _CAPACITY_PER_S, 3, False),
+    "5x_no_control": lambda _: ("unlimited", 5 * _CAPACITY_PER_S, 3, False),
+    "2x_status": lambda policy: (policy, 2 * _CAPACITY_PER_S, 0, True),
+}
+
+
+async def _run(name: str) -> Run:
+    if name not in _runs:
+        policy = os.environ.get("SASSAFRAS_MEASURE_ADMISSION", "adaptive")
+        _runs[name] = await _surge(*_CONDITIONS[name](policy))
+    return _runs[name]
+
+
+@figures.measurements.register("goodput_2x")
+async def measure_goodput_2x() -> list[figures.Figure]:
+    """Measures goodput at twice the capacity."""
+    run = await _run("2x")
+    return [
+        figures.Figure(
+            "goodput_2x", run.goodput, "%", figures.Sense.AT_LEAST, 90.0
+        )
+    ]
+
+
+@figures.measurements.register("goodput_5x_retries")
+async def measure_goodput_5x_retries() -> list[figures.Figure]:
+    """Measures goodput at five times the capacity with eager retries."""
+    run = await _run("5x_retries")
+    return [
+        figures.Figure(
+            "goodput_5x_retries", run.goodput, "%", figures.Sense.AT_LEAST, 80.0
+        )
+    ]
+
+
+@figures.measurements.register("goodput_5x_no_control")
+async def measure_goodput_5x_no_control() -> list[figures.Figure]:
+    """Measures the same without any overload control, for comparison."""
+    run = await _run("5x_no_control")
+    return [figures.Figure("goodput_5x_no_control", run.goodput, "%")]
+
+
+@figures.measurements.register("recovery_s")
+async def measure_recovery() -> list[figures.Figure]:
+    """Measures how long requests fail after a surge has ended."""
+    return [
+        figures.Figure(
+            f"recovery_s_{name}",
+            (await _run(name)).recovery_s,
+            "s",
+            figures.Sense.AT_MOST,
+            5.0,
+        )
+        for name in ("2x", "5x_retries")
+    ]
+
+
+@figures.measurements.register("unsafe_success_2x")
+async def measure_unsafe_success() -> list[figures.Figure]:
+    """Measures at-most-once calls in a surge of status checks."""
+    run = await _run("2x_status")
+    return [
+        figures.Figure(
+            "unsafe_success_2x",
+            run.success_percent(_LODGEMENT.method),
+            "%",
+            figures.Sense.AT_LEAST,
+            99.0,
+        )
+    ]
