--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -11,9 +11,9 @@
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
-from sassafras_node.calls import dispatch
 from sassafras_node.calls import idempotent
 from sassafras_node.calls import retrying
+from sassafras_node.calls import shedding
 
 _RETRY_AFTER_MS = 1000
 
@@ -67,7 +67,7 @@
         idempotency_scope=scope,
     )
     runtime.retry_guard.first_attempt(runtime.clock.now())
-    return await dispatch.dispatch(runtime, request, call)
+    return await shedding.serve(runtime, request, call)
 
 
 async def handle_sub_call(
@@ -93,7 +93,7 @@
             ),
         )
         runtime.retry_guard.first_attempt(runtime.clock.now())
-        return await dispatch.dispatch(runtime, request, call)
+        return await shedding.serve(runtime, request, call)
     parent = execution.call
     now = runtime.clock.now()
     context = messages.CallContext(
@@ -114,9 +114,15 @@
     call = contexts.ActiveCall(
         context=context, authority=parent.authority, idempotency_scope=scope
     )
-    return await retrying.serve_sub_call(
-        runtime, request, call, execution.repeats
-    )
+    parent.trace.begin(now)
+    try:
+        answer = await retrying.serve_sub_call(
+            runtime, request, call, execution
+        )
+        parent.trace.learn(answer)
+    finally:
+        parent.trace.end(runtime.clock.now())
+    return answer
 
 
 def _new_context(
--- a/packages/sassafras-node/src/sassafras_node/calls/retrying.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/retrying.py
@@ -9,6 +9,7 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import dispatch
+from sassafras_node.calls import shedding
 
 _RETRY_AFTER_MS = 1000
 
@@ -17,9 +18,10 @@
     runtime: runtimes.Runtime,
     request: messages.Request,
     call: contexts.ActiveCall,
-    tracker: repeats.RepeatTracker,
+    execution: contexts.Execution,
 ) -> messages.Answer:
     """Dispatches a sub-call; a repeat of a failed one counts as a retry."""
+    tracker = execution.repeats
     sub_call = repeats.identify(request.method, request.path, request.body)
     if tracker.is_repeat(sub_call):
         attempt = policies.Attempt(failures.Failure.REPEATED)
@@ -38,7 +40,9 @@
     # it then sends again is a repeat as well.
     succeeded = False
     try:
-        answer = await dispatch.dispatch(runtime, request, call)
+        answer = await shedding.serve(
+            runtime, request, call, execution.call.trace
+        )
         succeeded = (
             answer.outcome is outcomes.Outcome.RAN and answer.status < 500
         )
