--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -29,6 +29,7 @@
 import trio
 
 from sassafras_node.calls import contexts
+from sassafras_node.limits import gate as gates
 from sassafras_node.membership import neighbours
 from sassafras_node.membership import silence
 from sassafras_node.peers import outbox
@@ -81,6 +82,7 @@
       table: Membership; fed by peers, detector and the target's session.
       contexts: Call contexts of calls at the target beside the node.
       limiter: Rates of organisations.
+      gate: Admission by the limiter; fed by the exchange of tokens.
       balancer: Choice among targets.
       retry_policy: Whether a failed call is tried again.
       retry_guard: Retries of this node as a part of its first attempts.
@@ -127,6 +129,7 @@
         self.table = tables.Table(own)
         self.contexts = contexts.ContextTable()
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
+        self.gate = gates.Gate(self.limiter, clock)
         factory = balancers.balancers.get(settings.policy.balancer)
         self.balancer = factory(rng)  # type: ignore[call-arg]
         self.retry_policy = retry_policies.retry_policies.get(
@@ -173,6 +176,7 @@
         self.watch_wanted = trio.Event()
         self.watch_unwanted = trio.Event()
         self.watch_unwanted.set()
+        self._situation: limiters.Situation | None = None
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
         self.roster.subscribe(self._on_roster)
@@ -206,9 +210,18 @@
 
     def _configure_limiter(self) -> None:
         index = self.configuration.index
-        if index is not None:
-            hosts = len(self.table.peers) + 1
-            self.limiter.configure(index.document.organisations, hosts)
+        if index is None:
+            return
+        situation = limiters.Situation(
+            organisations=index.document.organisations,
+            own_id=self.table.own_id,
+            hosts=len(self.table.peers) + 1,
+            roster=self.roster.current,
+            settled=self.roster.is_settled(self.table.all),
+        )
+        if situation != self._situation:
+            self._situation = situation
+            self.limiter.configure(situation, self.clock.now_with_suspend())
 
     def _wake(self) -> None:
         """Wakes the tasks that pass changes on to neighbours."""
--- a/tests/contract/test_overload_path.py
+++ b/tests/contract/test_overload_path.py
@@ -18,6 +18,8 @@
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import indexes
 from sassafras_policy.membership import records
+from sassafras_policy.retries import guard
+from sassafras_policy.retries import policies as retry_policies
 from sassafras_standins.fleet import samples
 from sassafras_wire.http import client as http_client
 from sassafras_wire.settings import node as node_settings
@@ -38,10 +40,11 @@
         self.cut = 0
         self.during = None
 
-    async def exchange(self, request):
+    async def exchange(self, request, progress):
         self.requests.append(request)
         if self.error is not None:
             raise self.error
+        progress.may_have_run = True
         try:
             if self.during is not None:
                 await self.during(request)
@@ -74,6 +77,8 @@
         drain=types.SimpleNamespace(is_draining=False),
         heard_levels=levels.HeardLevels(),
         peer_views=views.PeerViews(clock),
+        retry_guard=guard.RetryGuard(),
+        retry_policy=retry_policies.Budgeted(),
         table=types.SimpleNamespace(own_id=OWN_ID, own=own),
         target=types.SimpleNamespace(is_serving=True, gate=gate, pool=pool),
     )
