--- a/packages/sassafras-node/src/sassafras_node/peers/pool.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/pool.py
@@ -19,6 +19,7 @@
         self._idle: dict[str, list[links.Link]] = {}
         self._permits: dict[str, trio.CapacityLimiter] = {}
         self._nursery: trio.Nursery | None = None
+        self._exchanges: set[trio.CancelScope] = set()
 
     async def run_readers(self) -> None:
         """Holds the nursery of the connections' readers until cancelled."""
@@ -28,7 +29,14 @@
                 await trio.sleep_forever()
             finally:
                 self._nursery = None
+                idle = [link for group in self._idle.values() for link in group]
                 self._idle.clear()
+                # Without its reader a connection never reports its end, so
+                # the calls on it would wait for their deadlines.
+                for scope in self._exchanges:
+                    scope.cancel()
+                for link in idle:
+                    await _abort(link)
 
     async def call(
         self,
@@ -54,13 +62,21 @@
         borrower = object()
         await permits.acquire_on_behalf_of(borrower)
         try:
-            link = await self._take(node_id)
+            link: links.Link | None = None
+            answer: models.AnswerMessage | None = None
             try:
-                answer = await _exchange(link, message, authority)
+                with trio.CancelScope() as scope:
+                    self._exchanges.add(scope)
+                    link = await self._take(node_id)
+                    answer = await _exchange(link, message, authority)
             except BaseException:
-                with trio.CancelScope(shield=True):
-                    await link.abort()
+                await _abort(link)
                 raise
+            finally:
+                self._exchanges.discard(scope)
+            if answer is None or link is None:
+                await _abort(link)
+                raise _restarting(node_id, sent=link is not None)
             self._idle.setdefault(node_id, []).append(link)
             return answer
         finally:
@@ -78,12 +94,21 @@
             if link.is_open:
                 return link
         if self._nursery is None:
-            raise errors.UnreachableError(
-                "peer.connect", node_id, "this node's peer tasks are restarting"
-            )
+            raise _restarting(node_id, sent=False)
         return await links.open_link(self._nursery, node_id, self._credentials)
 
 
+async def _abort(link: links.Link | None) -> None:
+    if link is not None:
+        with trio.CancelScope(shield=True):
+            await link.abort()
+
+
+def _restarting(node_id: str, *, sent: bool) -> errors.SassafrasError:
+    kind = errors.ConnectionLostError if sent else errors.UnreachableError
+    return kind("peer.call", node_id, "this node's peer tasks are restarting")
+
+
 async def _exchange(
     link: links.Link, message: models.Call, authority: contexts.RetryAuthority
 ) -> models.AnswerMessage:
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -54,6 +54,8 @@
         )
         self._read_ahead = bytearray()
         self._at_end = False
+        # The answer to HEAD carries the length of a body and not the body.
+        self._head_only = False
 
     async def await_request(self) -> bool:
         """Waits for the first byte of the next request.
@@ -114,7 +116,7 @@
             headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
         )
         data = self._connection.send(head) or b""
-        if answer.body and self._connection.their_state is not h11.ERROR:
+        if answer.body and not self._head_only:
             data += self._connection.send(h11.Data(data=answer.body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         await self._stream.send_all(data)
@@ -172,8 +174,11 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
+                # After the colon the parser quotes what it read, which may
+                # hold a key.
+                problem = str(error).split(":", 1)[0]
                 raise RequestRefusedError(
-                    self.peer, error.error_status_hint, str(error)
+                    self.peer, error.error_status_hint, problem
                 ) from None
             if event is h11.NEED_DATA:
                 if self._connection.they_are_waiting_for_100_continue:
@@ -181,6 +186,8 @@
                 await self._read()
             elif isinstance(event, h11.Request):
                 head = event
+                self._head_only = event.method == b"HEAD"
+                self._check_size(event)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.body_bytes:
@@ -194,6 +201,22 @@
             else:
                 return None
 
+    def _check_size(self, head: h11.Request) -> None:
+        """Refuses a header block over the limit that came in one piece.
+
+        The parser's own limit covers only blocks that are still incomplete.
+        """
+        size = len(head.target) + sum(
+            len(name) + len(value) + len(": \r\n")
+            for name, value in head.headers
+        )
+        if size > self._limits.header_bytes:
+            raise RequestRefusedError(
+                self.peer,
+                431,
+                f"the header block is over {self._limits.header_bytes} bytes",
+            )
+
     async def _send_continue(self) -> None:
         go_on = h11.InformationalResponse(status_code=100, headers=[])
         await self._stream.send_all(self._connection.send(go_on) or b"")
--- /dev/null
+++ b/tests/contract/test_supervision_of_nodes.py
@@ -0,0 +1,124 @@
+"""A task of a running node that fails is restarted alone; calls go on."""
+
+import itertools
+
+from common import nodes
+from common import waiting
+import pytest
+from sassafras_node.peers import handlers
+from sassafras_standins.fleet import launcher
+from sassafras_standins.fleet import samples
+from sassafras_standins.load import caller
+from sassafras_standins.store import server as store_server
+from sassafras_standins.target import server as target_server
+from sassafras_standins.target import settings as target_settings
+import trio
+
+pytestmark = pytest.mark.loopback
+
+# Children that hold calls in flight; ending one may end those calls, and no
+# other.
+_LONGEST_ANSWER_S = 1.5
+_NO_ANSWER = "no answer in time"
+_HOLDERS = {"sessions", "readers", "callers", "peers", "targets"}
+
+
+async def _start_target(fleet, host):
+    target = target_server.TargetServer(
+        target_settings.TargetSettings(
+            address=launcher.free_address(),
+            node_address=host.settings.host.target_address,
+            service="desk",
+            service_ms=40.0,
+        )
+    )
+    await fleet.nursery.start(target.run)
+
+
+def _running(runtime):
+    return {
+        (path, name)
+        for path, supervisor in runtime.supervisors.items()
+        for name in supervisor.children
+    }
+
+
+async def test_each_child_of_each_supervisor_restarts_alone():
+    """Guards against a failed task that takes others or calls with it."""
+    store = store_server.StoreServer()
+    store_address = launcher.free_address()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(store.listen, store_address)
+        async with nodes.fleet(3, store_address=store_address) as fleet:
+            await _exercise(fleet)
+        nursery.cancel_scope.cancel()
+
+
+async def _exercise(fleet):
+    host, *others = fleet.hosts
+    for each in fleet.hosts:
+        handlers.put_into_force(each.runtime, samples.document(), "test")
+    for each in others:
+        await _start_target(fleet, each)
+    # The node under test has no target, so its calls go through peer links.
+    bank = caller.Caller(
+        [host.settings.host.caller_address], samples.NATIONAL_KEY
+    )
+
+    async def serves():
+        return (await bank.request("GET", "/desk/1")).status == 200
+
+    await waiting.until(serves, "calls are served")
+    children = sorted(_running(host.runtime))
+    assert {path for path, _ in children} >= {
+        "node",
+        "node/store",
+        "node/peers",
+        "node/peers/links",
+        "node/membership",
+        "node/targets",
+        "node/callers",
+    }
+    for path, name in children:
+        supervisor = host.runtime.supervisors[path]
+        if name not in supervisor.children:
+            continue  # A neighbour that an earlier interruption changed.
+        failures = []
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call_until, stop, host, failures)
+            await trio.sleep(0.05)
+            before = _running(host.runtime)
+            supervisor.interrupt(name)
+            await trio.sleep(0.4)
+            await waiting.until(serves, f"calls go on after {path}/{name}")
+
+            async def is_back(before=before):
+                return before <= _running(host.runtime)
+
+            await waiting.until(is_back, f"{path}/{name} runs again")
+            stop.set()
+        # A call that a restart ends gets its outcome at once.
+        assert _NO_ANSWER not in failures, (path, name)
+        if name not in _HOLDERS:
+            assert failures == [], (path, name)
+    assert host.runtime.configuration.revision == 1
+    assert len(host.runtime.table.peers) == 2
+
+
+async def _call_until(stop, host, failures):
+    bank = caller.Caller(
+        [host.settings.host.caller_address], samples.NATIONAL_KEY
+    )
+    for _ in itertools.count():
+        if stop.is_set():
+            break
+        answer = None
+        with trio.move_on_after(_LONGEST_ANSWER_S):
+            answer = await bank.request("GET", "/desk/1")
+        if answer is None:
+            failures.append(_NO_ANSWER)
+        elif answer.status != 200:
+            failures.append(f"{answer.status} {answer.outcome} {answer.body!r}")
+        await trio.sleep(0.01)
+    await bank.close()
