Measure control, halve its messages and record golden sessions

Cause: the cost of control and the time of changes were not measured; each change of a record woke each link by itself; default values travelled in every message; nothing searched what leaves a node for keys.

Nodes log their control traffic at DEBUG every 5 s. Fields at their defaults stay out of peer messages, and changes are gathered for 20 ms before they are sent. Golden files hold whole sessions of callers, targets, peers and the store. A test searches target requests, peer frames, answers and log lines for keys.

--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -7,6 +7,10 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
 
+# Changes often come in bursts, such as a new revision in the records of all
+# nodes; one message then carries them all. A change takes some 10 hops at most.
+_BATCH_S = 0.02
+
 
 async def run(runtime: runtimes.Runtime, node_id: str) -> None:
     """Connects to a neighbour and exchanges heartbeats until cancelled."""
@@ -41,6 +45,7 @@
         <= link.documents.get(handlers.CONFIGURATION, 0)
     ):
         await runtime.changed.wait()
+    await trio.sleep(_BATCH_S)
 
 
 async def _beat(
--- a/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
@@ -1,10 +1,11 @@
 """Supervises the links to other nodes.
 
 Children: `sessions` and `accept` (connections from peers), `readers` (call
-connections to peers), `rejoin` (tries nodes that are taken for dead), `ring`
-(chooses the neighbours) and one `link:<node>` for each neighbour. A link that
-fails restarts alone with a back-off and never gives up, as an unreachable
-neighbour is no fault of this node.
+connections to peers), `rejoin` (tries nodes that are taken for dead), `traffic`
+(logs the bytes of control), `ring` (chooses the neighbours) and one
+`link:<node>` for each neighbour. A link that fails restarts alone with a
+back-off and never gives up, as an unreachable neighbour is no fault of this
+node.
 """
 
 import functools
@@ -18,6 +19,7 @@
 from sassafras_node.peers import link
 from sassafras_node.peers import rejoin
 from sassafras_node.peers import session
+from sassafras_node.peers import traffic
 
 _LINK_POLICY = supervision.RestartPolicy(
     initial_backoff_s=0.2, maximum_backoff_s=2.0, failures_allowed=2**31
@@ -38,6 +40,9 @@
             supervision.Child("accept", listener.accept),
             supervision.Child("readers", runtime.peer_pools.run_readers),
             supervision.Child("rejoin", functools.partial(rejoin.run, runtime)),
+            supervision.Child(
+                "traffic", functools.partial(traffic.run, runtime)
+            ),
             supervision.Child(
                 "links",
                 functools.partial(_run_links, runtime, neighbour_links),
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/peers/traffic.py
@@ -0,0 +1,25 @@
+"""Logs what the node exchanges with its peers besides calls."""
+
+from sassafras_base import events
+import trio
+
+from sassafras_node import runtime as runtimes
+
+_INTERVAL_S = 5.0
+
+
+@events.declare(511, "DEBUG")
+def control_traffic(messages: int, payload_bytes: int) -> str:
+    """Control messages since the start of the node, and their bytes.
+
+    The bytes do not include the headers of the layers below.
+    """
+    return f"control traffic: {messages} messages, {payload_bytes} bytes"
+
+
+async def run(runtime: runtimes.Runtime) -> None:
+    """Logs the count at fixed intervals."""
+    traffic = runtime.credentials.traffic
+    while True:
+        control_traffic(traffic.messages, traffic.payload_bytes)
+        await trio.sleep(_INTERVAL_S)
--- a/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
@@ -49,6 +49,8 @@
       peer_address: Where peers reach the node.
       admin_address: Where operators reach the node.
       target: Settings of the target stand-in.
+      store_address: Where the node looks for the store, when not at the
+        fleet's stand-in.
     """
 
     name: str
@@ -58,6 +60,7 @@
     peer_address: str
     admin_address: str
     target: target_settings.TargetSettings
+    store_address: str = ""
 
 
 def make_place(name: str, availability_zone: str, **target: object) -> Place:
@@ -237,7 +240,7 @@
             f"secret_file = {self.folder / 'secret'}\n"
             f"seeds = {seeds}\n"
             "[store]\n"
-            f"endpoints = {self.store_address}\n"
+            f"endpoints = {place.store_address or self.store_address}\n"
             f"{self._extra_settings}"
         )
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/codec.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/codec.py
@@ -11,8 +11,13 @@
 
 
 def encode(message: models.Message) -> bytes:
-    """Returns a message as one CBOR map."""
-    return cbor2.dumps(message.model_dump())
+    """Returns a message as one CBOR map.
+
+    Fields at their defaults are left out, which halves a heartbeat; the
+    receiver's model fills them in.
+    """
+    content = message.model_dump(exclude_defaults=True)
+    return cbor2.dumps({"type": message.type, **content})
 
 
 def decode(data: str | bytes, peer: str) -> models.Message:
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -18,6 +18,13 @@
 
 CLOSE_TIMEOUT_S = 1.0
 
+_CALL_MESSAGES = (
+    models.Call,
+    models.AnswerMessage,
+    models.RetryAsk,
+    models.RetryGrant,
+)
+
 M = TypeVar("M", bound=models.Message)
 
 
@@ -30,6 +37,25 @@
 _SERVER = trio_server.Server([], _no_handler)
 
 
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Control messages of all links of a node; calls are not counted.
+
+    Attributes:
+      messages: Messages sent and received.
+      payload_bytes: Their bytes, without the headers of the layers below.
+    """
+
+    messages: int = 0
+    payload_bytes: int = 0
+
+    def count(self, message: models.Message, size: int) -> None:
+        """Counts a message unless it belongs to a call."""
+        if not isinstance(message, _CALL_MESSAGES):
+            self.messages += 1
+            self.payload_bytes += size
+
+
 class Link:
     """Sends and receives messages on one websocket.
 
@@ -38,13 +64,18 @@
       address: Address of the other side.
       bytes_sent: Bytes of all frames sent.
       bytes_received: Bytes of all frames received.
+      traffic: Where control messages are counted.
       documents: Newest revision of each kind of document sent or fetched.
     """
 
     def __init__(
-        self, connection: trio_connection.Connection, address: str
+        self,
+        connection: trio_connection.Connection,
+        address: str,
+        traffic: Traffic | None = None,
     ) -> None:
         self.address = address
+        self.traffic = traffic or Traffic()
         self.peer = authentication.Identity("", 0, "")
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -76,6 +107,7 @@
                 "peer.send", self.address, f"link lost: {error!r}"
             ) from None
         self.bytes_sent += len(data)
+        self.traffic.count(message, len(data))
 
     async def receive(self) -> models.Message:
         """Returns the next message.
@@ -91,7 +123,9 @@
                 "peer.receive", self.address, f"link lost: {error!r}"
             ) from None
         self.bytes_received += len(data)
-        return codec.decode(data, self.address)
+        message = codec.decode(data, self.address)
+        self.traffic.count(message, len(data))
+        return message
 
     async def expect(self, kind: type[M]) -> M:
         """Returns the next message, which must be of one type.
@@ -122,11 +156,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Credentials:
-    """What a node needs to authenticate links."""
+    """What a node needs to authenticate links, and its count of messages."""
 
     identity: authentication.Identity
     secret: authentication.Secret
     timeout_s: float = 5.0
+    traffic: Traffic = dataclasses.field(default_factory=Traffic)
 
 
 async def open_link(
@@ -159,7 +194,7 @@
         raise errors.UnreachableError(
             "peer.connect", address, f"cannot connect: {error!r}"
         ) from None
-    link = Link(connection, address)
+    link = Link(connection, address, credentials.traffic)
     try:
         with trio.fail_after(credentials.timeout_s):
             await _open_handshake(link, credentials)
@@ -198,7 +233,7 @@
         ping_interval=None,
         close_timeout=CLOSE_TIMEOUT_S,
     )
-    link = Link(connection, address)
+    link = Link(connection, address, credentials.traffic)
     try:
         with trio.fail_after(credentials.timeout_s):
             await connection.handshake(server_header=None)
--- /dev/null
+++ b/tests/common/golden.py
@@ -0,0 +1,28 @@
+"""Golden files: whole sessions with random values masked."""
+
+import os
+import pathlib
+import re
+
+_FOLDER = pathlib.Path(__file__).parent.parent / "golden"
+_UPDATE = "SASSAFRAS_UPDATE_GOLDEN"
+
+
+def check(name, transcript, masks):
+    """Compares a transcript with its golden file.
+
+    Set SASSAFRAS_UPDATE_GOLDEN=1 to write the files anew, and review the
+    difference.
+
+    Args:
+      name: Name of the file.
+      transcript: The session as text.
+      masks: Pairs of a regular expression and the text to put in its place.
+    """
+    for pattern, mask in masks:
+        transcript = re.sub(pattern, mask, transcript)
+    path = _FOLDER / f"{name}.txt"
+    if os.environ.get(_UPDATE):
+        _FOLDER.mkdir(exist_ok=True)
+        path.write_text(transcript)
+    assert transcript == path.read_text()
--- /dev/null
+++ b/tests/contract/test_keys_stay_inside.py
@@ -0,0 +1,126 @@
+"""A caller's key never leaves the node that received it."""
+
+import base64
+
+from common import nodes
+from common import waiting
+import loguru
+import pytest
+from sassafras_node.peers import handlers
+from sassafras_standins.fleet import launcher
+from sassafras_standins.fleet import samples
+from sassafras_standins.store import server as store_server
+from sassafras_standins.target import server as target_server
+from sassafras_standins.target import settings as target_settings
+from sassafras_wire.peer import codec
+import trio
+
+pytestmark = pytest.mark.loopback
+
+_KEY = samples.NATIONAL_KEY
+_WRONG_KEY = "a-key-that-nobody-granted"
+
+_REQUESTS = {
+    "right key": f"Authorization: Bearer {_KEY}",
+    "wrong key": f"Authorization: Bearer {_WRONG_KEY}",
+    "odd scheme": f"Authorization: Basic {_KEY}",
+    "odd case": f"aUTHORIZATION:bearer   {_KEY}",
+    "twice": (
+        f"Authorization: Bearer {_KEY}\r\nAuthorization: Bearer {_WRONG_KEY}"
+    ),
+    "in other fields": (
+        f"Authorization: Bearer {_KEY}\r\nX-Api-Key: {_KEY}\r\n"
+        f"Cookie: key={_KEY}\r\nProxy-Authorization: Bearer {_KEY}"
+    ),
+    "connection options": (
+        f"Authorization: Bearer {_KEY}\r\nConnection: authorization"
+    ),
+    "broken field": f"Authorization: Bearer {_KEY}\x00",
+    "no colon": f"Authorization Bearer {_KEY}",
+    "oversized": f"Authorization: Bearer {_KEY}\r\nX: {'y' * 20_000}",
+}
+_PATHS = ("/desk/1", "/desk/open", "/nowhere/1", "/accounts/1", "*")
+
+
+async def _request(address, path, fields):
+    """Sends a request outside of trio's streams, which the test records."""
+    host, port = address.rsplit(":", 1)
+    head = f"GET {path} HTTP/1.1\r\nHost: x\r\n{fields}\r\n\r\n"
+    with trio.socket.socket() as sock, trio.move_on_after(2.0):
+        await sock.connect((host, int(port)))
+        await sock.send(head.encode("latin-1"))
+        await sock.recv(65536)
+
+
+async def test_nothing_that_leaves_a_node_holds_a_key(monkeypatch):
+    """Guards against keys in target requests, peer frames, answers or logs."""
+    sent = bytearray()
+    original = trio.SocketStream.send_all
+
+    async def record(self, data):
+        sent.extend(data)
+        await original(self, data)
+
+    monkeypatch.setattr(trio.SocketStream, "send_all", record)
+    encode = codec.encode
+
+    def record_frame(message):
+        # On the wire the frames of a link's opener are masked.
+        frame = encode(message)
+        sent.extend(frame)
+        return frame
+
+    monkeypatch.setattr(codec, "encode", record_frame)
+    lines = []
+    sink = loguru.logger.add(lines.append, level="TRACE", backtrace=True)
+    store = store_server.StoreServer()
+    store_address = launcher.free_address()
+    try:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(store.listen, store_address)
+            async with nodes.fleet(2, store_address=store_address) as fleet:
+                await _exercise(fleet)
+            nursery.cancel_scope.cancel()
+    finally:
+        loguru.logger.remove(sink)
+    # The recording works and a call did go through a peer to the target.
+    assert b"sassafras-context" in sent
+    assert b"root_id" in sent
+    text = "\n".join(map(str, lines)).encode()
+    for key in (_KEY, _WRONG_KEY):
+        for form in (
+            key.encode(),
+            base64.b64encode(key.encode()).rstrip(b"="),
+            key.encode().hex().encode(),
+        ):
+            assert form not in sent
+            assert form not in text
+
+
+async def _exercise(fleet):
+    entry, beside = fleet.hosts
+    for host in fleet.hosts:
+        handlers.put_into_force(host.runtime, samples.document(), "test")
+    target = target_server.TargetServer(
+        target_settings.TargetSettings(
+            address=launcher.free_address(),
+            node_address=beside.settings.host.target_address,
+            service="desk",
+            service_ms=1.0,
+            sub_calls=["/accounts/1"],
+        )
+    )
+    await fleet.nursery.start(target.run)
+
+    async def known():
+        return entry.runtime.table.serving("desk")
+
+    await waiting.until(known, "the target is known")
+    for fields in _REQUESTS.values():
+        for path in _PATHS:
+            for address in (
+                entry.settings.host.caller_address,
+                entry.settings.host.target_address,
+            ):
+                await _request(address, path, fields)
+    assert target.executions
