--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -11,6 +11,14 @@
 from sassafras_node import runtime as runtimes
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
+RefusalForm = Callable[[http_server.RequestRefusedError], messages.Answer]
+
+
+def refusal_as_text(error: http_server.RequestRefusedError) -> messages.Answer:
+    """Returns the answer to a request that breaks HTTP/1.1 or a limit."""
+    return messages.refusal(
+        outcomes.Reason.BAD_REQUEST, error.status, error.problem
+    )
 
 
 async def serve(
@@ -18,6 +26,7 @@
     stream: trio.SocketStream,
     peer: str,
     handler: Handler,
+    refusal_form: RefusalForm = refusal_as_text,
 ) -> None:
     """Answers the requests of a connection, one after another.
 
@@ -25,51 +34,47 @@
     stop waits for a request that is still arriving.
     """
     connection = http_server.ServerConnection(stream, peer, runtime.http_limits)
-    while await connection.await_request():
-        runtime.drain.enter()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.run_reader)
         try:
-            request = await connection.receive()
-            if request is None:
-                return
-            answer = await _handle(connection, request, handler)
-            if answer is None:
-                return
-            await connection.send(answer, close=runtime.drain.is_draining)
+            while await _serve_next(runtime, connection, handler):
+                pass
         except http_server.RequestRefusedError as error:
-            await _refuse(connection, error)
-            return
+            await _refuse(connection, refusal_form(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-        finally:
-            runtime.drain.leave()
+            pass
+        nursery.cancel_scope.cancel()
 
 
-async def _handle(
+async def _serve_next(
+    runtime: runtimes.Runtime,
     connection: http_server.ServerConnection,
-    request: messages.Request,
     handler: Handler,
-) -> messages.Answer | None:
-    """Returns the answer, or None when the other side has gone away."""
-    answer: messages.Answer | None = None
-    async with trio.open_nursery() as nursery:
-
-        async def cancel_when_gone() -> None:
-            await connection.wait_disconnected()
-            nursery.cancel_scope.cancel()
-
-        nursery.start_soon(cancel_when_gone)
-        answer = await handler(request)
-        nursery.cancel_scope.cancel()
-    return answer
+) -> bool:
+    """Serves one request; returns False when the connection is done."""
+    if not await connection.await_request():
+        return False
+    runtime.drain.enter()
+    try:
+        request = await connection.receive()
+        if request is None:
+            return False
+        answer: messages.Answer | None = None
+        with trio.CancelScope() as scope:
+            connection.cancel_when_gone(scope)
+            answer = await handler(request)
+        connection.cancel_when_gone(None)
+        if answer is None:
+            return False
+        await connection.send(answer, close=runtime.drain.is_draining)
+        return True
+    finally:
+        runtime.drain.leave()
 
 
 async def _refuse(
-    connection: http_server.ServerConnection,
-    error: http_server.RequestRefusedError,
+    connection: http_server.ServerConnection, answer: messages.Answer
 ) -> None:
-    answer = messages.refusal(
-        outcomes.Reason.BAD_REQUEST, error.status, error.problem
-    )
     try:
         await connection.send(answer)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
@@ -1,7 +1,9 @@
 """Supervises the node's part in the membership.
 
-Children: `detector` (neighbours that fail), `own_record` (revision in force)
-and `forgetting` (nodes that are gone for long). Each restarts alone.
+Children: `detector` (neighbours that fail), `own_record` (revision in force),
+`forgetting` (nodes that are gone for long), `roster_watch`, `roster_extend`
+and `roster_report`. Each restarts alone; an outage of the store is not a
+failure.
 """
 
 import functools
@@ -12,6 +14,7 @@
 from sassafras_node.membership import detector
 from sassafras_node.membership import forgetting
 from sassafras_node.membership import own_record
+from sassafras_node.membership import roster
 
 
 async def run(runtime: runtimes.Runtime) -> None:
@@ -23,6 +26,15 @@
             supervision.Child(
                 "detector", functools.partial(detector.run, runtime)
             ),
+            supervision.Child(
+                "roster_watch", functools.partial(roster.watch, runtime)
+            ),
+            supervision.Child(
+                "roster_extend", functools.partial(roster.extend, runtime)
+            ),
+            supervision.Child(
+                "roster_report", functools.partial(roster.report, runtime)
+            ),
             supervision.Child(
                 "own_record", functools.partial(own_record.run, runtime)
             ),
--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -35,14 +35,17 @@
     ack = await _beat(runtime, link)
     while runtime.outbox.has_more(link):
         ack = await _beat(runtime, link)
-    await _exchange_document(runtime, link, ack)
+    await _exchange_documents(runtime, link, ack)
 
 
 async def _wait_for_news(runtime: runtimes.Runtime, link: links.Link) -> None:
     """Waits until there is something that the neighbour does not have."""
-    while not runtime.outbox.has_more(link) and (
-        runtime.configuration.revision
-        <= link.documents.get(handlers.CONFIGURATION, 0)
+    documents = link.documents
+    while (
+        not runtime.outbox.has_more(link)
+        and runtime.configuration.revision
+        <= documents.get(handlers.CONFIGURATION, 0)
+        and runtime.roster.current.epoch <= documents.get(handlers.ROSTER, 0)
     ):
         await runtime.changed.wait()
     await trio.sleep(_BATCH_S)
@@ -55,6 +58,7 @@
         models.Heartbeat(
             node_id=runtime.table.own_id,
             config_revision=runtime.configuration.revision,
+            roster_epoch=runtime.roster.current.epoch,
             changes=runtime.outbox.take(link),
         )
     )
@@ -63,26 +67,44 @@
     return ack
 
 
-async def _exchange_document(
+async def _exchange_documents(
     runtime: runtimes.Runtime, link: links.Link, ack: models.HeartbeatAck
 ) -> None:
-    own_revision = runtime.configuration.revision
-    settled = link.documents.get(handlers.CONFIGURATION, 0)
+    await _exchange_document(
+        runtime,
+        link,
+        handlers.CONFIGURATION,
+        runtime.configuration.revision,
+        ack.config_revision,
+    )
+    await _exchange_document(
+        runtime,
+        link,
+        handlers.ROSTER,
+        runtime.roster.current.epoch,
+        ack.roster_epoch,
+    )
+
+
+async def _exchange_document(
+    runtime: runtimes.Runtime,
+    link: links.Link,
+    kind: str,
+    own_number: int,
+    peer_number: int,
+) -> None:
+    """Fetches a document that the peer has newer, or sends the own one."""
+    settled = link.documents.get(kind, 0)
     # A document that one side refuses crosses a link once, and not with each
     # heartbeat.
-    link.documents[handlers.CONFIGURATION] = max(
-        settled, own_revision, ack.config_revision
-    )
-    if ack.config_revision > max(own_revision, settled):
-        await link.send(models.DocumentFetch(kind=handlers.CONFIGURATION))
+    link.documents[kind] = max(settled, own_number, peer_number)
+    if peer_number > max(own_number, settled):
+        await link.send(models.DocumentFetch(kind=kind))
         document = await link.expect(models.DocumentMessage)
         handlers.offer_document(runtime, document, link.address)
-    elif own_revision > max(ack.config_revision, settled):
+    elif own_number > max(peer_number, settled):
         await link.send(
             models.DocumentMessage(
-                kind=handlers.CONFIGURATION,
-                content=handlers.document_content(
-                    runtime, handlers.CONFIGURATION
-                ),
+                kind=kind, content=handlers.document_content(runtime, kind)
             )
         )
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -12,6 +12,7 @@
 from sassafras_policy.configuration import indexes
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
+from sassafras_policy.membership import roster as rosters
 from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
 from sassafras_wire.http import server as http_server
@@ -27,6 +28,7 @@
 from sassafras_node.peers import outbox
 from sassafras_node.peers import pool as peer_pool
 from sassafras_node.peers import views
+from sassafras_node.reports import recorder
 from sassafras_node.targets import beside
 
 
@@ -83,6 +85,7 @@
       neighbours: Chooses the neighbours that get heartbeats.
       silence: When neighbours were last heard.
       outbox: Membership changes still to be sent.
+      recorder: How root requests ended; fed by callers' sessions.
       supervisors: Running supervisors by path.
       changed: Set and replaced when membership or configuration changes.
       watch_wanted: Set while this node is its availability zone's watcher.
@@ -140,6 +143,7 @@
         )
         self.silence = silence.SilenceTracker()
         self.outbox = outbox.Outbox(self.table)
+        self.recorder = recorder.Recorder(self.configuration, clock)
         self.supervisors: dict[str, supervision.Supervisor] = {}
         self.changed = trio.Event()
         self.watch_wanted = trio.Event()
@@ -147,6 +151,7 @@
         self.watch_unwanted.set()
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
+        self.roster.subscribe(self._on_roster)
 
     def start_watching(self) -> None:
         """Makes this node its availability zone's watcher."""
@@ -166,6 +171,12 @@
 
     def _on_configuration(self, index: indexes.Index) -> None:
         self.target.set_class_count(index.class_count)
+        self.target.set_stopped(index.document.stopped_targets)
+        self._configure_limiter()
+        self._wake()
+
+    def _on_roster(self, roster: rosters.Roster) -> None:
+        del roster
         self._configure_limiter()
         self._wake()
 
--- a/packages/sassafras-node/src/sassafras_node/store/keys.py
+++ b/packages/sassafras-node/src/sassafras_node/store/keys.py
@@ -1,7 +1,10 @@
 """Names of the keys in the platform's key-value service."""
 
 CONFIGURATION = "/sassafras/config"
+ROSTER = "/sassafras/roster"
 ZONES = "/sassafras/zones/"
+HISTORY = "/sassafras/history/"
+AUDIT = "/sassafras/audit/"
 
 
 def zone_watcher(availability_zone: str) -> str:
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -1,7 +1,7 @@
 """The root of the supervisor tree.
 
-Children: `store`, `peers`, `membership`, `targets` and `callers`, each a
-supervisor of its own. One that gives up is restarted here; when that happens
+Children: `store`, `peers`, `membership`, `targets`, `callers` and `admin`, each
+a supervisor of its own. One that gives up is restarted here; when that happens
 too often the root gives up and the process exits with an error.
 """
 
@@ -14,9 +14,11 @@
 
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
+from sassafras_node.admin import supervisor as admin
 from sassafras_node.callers import supervisor as callers
 from sassafras_node.membership import supervisor as membership
 from sassafras_node.peers import supervisor as peers
+from sassafras_node.reports import fleet as _report_handlers  # noqa: F401
 from sassafras_node.store import supervisor as store
 from sassafras_node.targets import announcements
 from sassafras_node.targets import supervisor as targets
@@ -55,10 +57,11 @@
         callers.make_listener(runtime),
         targets.make_listener(runtime),
         peers.make_listener(runtime),
+        admin.make_listener(runtime),
     ]
     for listener in listeners:
         await listener.bind()
-    caller_listener, target_listener, peer_listener = listeners
+    caller_listener, target_listener, peer_listener, admin_listener = listeners
     root = supervision.Supervisor("node")
     runtime.supervisors[root.path] = root
     children = [
@@ -67,6 +70,7 @@
         ("membership", functools.partial(membership.run, runtime)),
         ("targets", functools.partial(targets.run, runtime, target_listener)),
         ("callers", functools.partial(callers.run, runtime, caller_listener)),
+        ("admin", functools.partial(admin.run, runtime, admin_listener)),
     ]
     try:
         async with trio.open_nursery() as nursery:
--- a/packages/sassafras-standins/src/sassafras_standins/load/caller.py
+++ b/packages/sassafras-standins/src/sassafras_standins/load/caller.py
@@ -52,15 +52,30 @@
         body: bytes = b"",
         headers: messages.Headers = (),
         request_id: str = "",
+        node: int | None = None,
     ) -> Result:
-        """Sends a request to the next node."""
+        """Sends a request.
+
+        Args:
+          method: HTTP method.
+          path: Path, which begins with the service.
+          body: Body of the request.
+          headers: Further header fields.
+          request_id: Value of `x-request-id`; a new one when empty.
+          node: Which node to use, modulo their number; the next in turn when
+            None.
+
+        Returns:
+          How it ended.
+        """
         fields = [*headers]
         fields.append(
             ("x-request-id", request_id or f"request-{next(self._numbers)}")
         )
         if self._key:
             fields.append(("authorization", f"Bearer {self._key}"))
-        target = self._pools[next(self._turn) % len(self._pools)]
+        turn = next(self._turn) if node is None else node
+        target = self._pools[turn % len(self._pools)]
         try:
             response = await target.exchange(
                 messages.Request(method, path, tuple(fields), body)
--- a/packages/sassafras-standins/src/sassafras_standins/load/steady.py
+++ b/packages/sassafras-standins/src/sassafras_standins/load/steady.py
@@ -58,18 +58,22 @@
             for number in itertools.count(1):
                 if self._stopping:
                     return
-                nursery.start_soon(self._complete)
+                nursery.start_soon(self._complete, number)
                 await trio.sleep_until(started + number * self._interval_s)
 
     def stop(self) -> None:
         """Sends no further request."""
         self._stopping = True
 
-    async def _complete(self) -> None:
+    async def _complete(self, number: int) -> None:
+        # Each try goes to another node. Turns shared by all requests could
+        # bring the tries of one request to the same node again and again.
         for attempt in range(_TRIES):
             if attempt:
                 await trio.sleep(_PAUSE_S)
-            answer = await self._source.request(self._method, self._path)
+            answer = await self._source.request(
+                self._method, self._path, node=number + attempt
+            )
             if answer.status == _OK:
                 self.tally.completed += 1
                 return
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -173,3 +173,51 @@
     type: Literal["document"] = "document"
     kind: str
     content: bytes
+
+
+class ReportSeries(pydantic.BaseModel):
+    """Recordings of one service and organisation."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    service: str
+    organisation: str
+    windows: dict[int, tuple[int, int]]
+    latency_ms: bytes
+
+
+@message_types.register("report_fetch")
+class ReportFetch(Message):
+    """Asks a node for its recordings."""
+
+    type: Literal["report_fetch"] = "report_fetch"
+
+
+@message_types.register("report")
+class Report(Message):
+    """A node's recordings."""
+
+    type: Literal["report"] = "report"
+    node_id: str
+    series: list[ReportSeries] = []
+
+
+@message_types.register("status_fetch")
+class StatusFetch(Message):
+    """Asks for the state of a node, at an operator's request."""
+
+    type: Literal["status_fetch"] = "status_fetch"
+
+
+@message_types.register("status")
+class StatusMessage(Message):
+    """The state of a node and of the target beside it."""
+
+    type: Literal["status"] = "status"
+    node_id: str
+    incarnation: int
+    config_revision: int
+    roster_epoch: int = 0
+    target_address: str = ""
+    target_state: str = "absent"
+    calls_in_flight: int = 0
