--- a/tests/contract/test_configuration_writer.py
+++ b/tests/contract/test_configuration_writer.py
@@ -246,9 +246,19 @@
             {"organisations": (documents.Organisation("x", 0.0, 1.0),)},
             "rate_per_s",
         ),
+        (
+            {
+                "organisations": (
+                    documents.Organisation(
+                        "x", 1.0, 1.0, (documents.Key("k", "a-plain-key"),)
+                    ),
+                )
+            },
+            "digest",
+        ),
         ({"note": "x" * writers.MAXIMUM_DOCUMENT_BYTES}, "at most"),
     ],
-    ids=["unknown class", "rate of 0", "too large"],
+    ids=["unknown class", "rate of 0", "a key as text", "too large"],
 )
 async def test_an_invalid_document_is_never_sent(changes, fault):
     """Guards against a stored revision that every node refuses."""
