Take the outcome at a passed deadline from the call's progress

The node beside the target uses the same bounded step as the other hops, around the exchange only, so that the answer still carries levels and load. The fake notes the hand-over; a test covers a deadline before it.

A deadline that passes before the hand-over is "not run".

--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -1,16 +1,17 @@
 """Serves a call at the target beside the node."""
 
 import dataclasses
+import functools
 
 from sassafras_base import errors
 from sassafras_policy.admission import levels
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import fields
-import trio
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
+from sassafras_node.calls import deadlines
 from sassafras_node.targets import gate as gates
 
 _RETRY_AFTER_MS = 1000
@@ -48,7 +49,13 @@
             retry_after_ms=levels.retry_after_ms(call.context.rank, gate.level),
         )
     else:
-        answer = await _exchange_in_time(runtime, request, call, gate)
+        # Closes the target connection when the deadline passes, and leaves
+        # time to say so with the levels of the services met.
+        answer = await deadlines.bounded(
+            runtime,
+            call,
+            functools.partial(_exchange, runtime, request, call, gate),
+        )
     heard = {**call.trace.levels, request.service: gate.level}
     answer = dataclasses.replace(
         answer, levels=tuple(heard.items()), load=gate.load
@@ -57,21 +64,6 @@
     return answer
 
 
-async def _exchange_in_time(
-    runtime: runtimes.Runtime,
-    request: messages.Request,
-    call: contexts.ActiveCall,
-    gate: gates.Gate,
-) -> messages.Answer:
-    """Closes the target connection when the deadline passes."""
-    remaining_s = call.context.deadline - runtime.clock.now()
-    with trio.move_on_after(max(0.0, remaining_s)):
-        return await _exchange(runtime, request, call, gate)
-    return messages.unknown(
-        outcomes.Reason.DEADLINE, 504, "the deadline passed at the target"
-    )
-
-
 async def _exchange(
     runtime: runtimes.Runtime,
     request: messages.Request,
--- a/tests/contract/test_overload_path.py
+++ b/tests/contract/test_overload_path.py
@@ -18,6 +18,7 @@
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import indexes
 from sassafras_policy.membership import records
+from sassafras_policy.retries import guard
 from sassafras_standins.fleet import samples
 from sassafras_wire.http import client as http_client
 from sassafras_wire.settings import node as node_settings
@@ -30,19 +31,22 @@
 class FakeTargetPool:
     """A target whose answer takes a while; notes what was cut off."""
 
-    def __init__(self, answer_s=0.05, status=200, error=None):
+    def __init__(self, answer_s=0.05, status=200, error=None, connect_s=0.0):
         self.answer_s = answer_s
+        self.connect_s = connect_s
         self.status = status
         self.error = error
         self.requests = []
         self.cut = 0
         self.during = None
 
-    async def exchange(self, request):
+    async def exchange(self, request, progress):
         self.requests.append(request)
         if self.error is not None:
             raise self.error
         try:
+            await trio.sleep(self.connect_s)
+            progress.may_have_run = True
             if self.during is not None:
                 await self.during(request)
             await trio.sleep(self.answer_s)
@@ -73,6 +77,7 @@
         contexts=contexts.ContextTable(),
         drain=types.SimpleNamespace(is_draining=False),
         heard_levels=levels.HeardLevels(),
+        retry_guard=guard.RetryGuard(),
         peer_views=views.PeerViews(clock),
         table=types.SimpleNamespace(own_id=OWN_ID, own=own),
         target=types.SimpleNamespace(is_serving=True, gate=gate, pool=pool),
@@ -109,6 +114,16 @@
     assert runtime.target.gate.load == 0.0
 
 
+async def test_a_deadline_that_passes_before_the_hand_over_is_not_run():
+    """Guards against an outcome that is less certain than it could be."""
+    pool = FakeTargetPool(connect_s=60.0)
+    runtime = _runtime(pool)
+    answer = await local.serve(runtime, _request(), _call(deadline_s=0.5))
+    assert pool.cut == 1
+    assert answer.outcome is outcomes.Outcome.NOT_RUN
+    assert dict(answer.levels) == {"desk": OPEN}
+
+
 async def test_a_caller_that_leaves_cuts_the_call_off_at_the_target():
     """Guards against work for callers that have gone."""
     pool = FakeTargetPool(answer_s=60.0)
