--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -1,8 +1,8 @@
 """The root of the supervisor tree.
 
-Children: `store`, `peers`, `membership`, `targets`, `callers` and `admin`, each
-a supervisor of its own. One that gives up is restarted here; when that happens
-too often the root gives up and the process exits with an error.
+Children: `store`, `peers`, `membership`, `limits`, `targets`, `callers` and
+`admin`, each a supervisor of its own. One that gives up is restarted here; when
+that happens too often the root gives up and the process exits with an error.
 """
 
 import functools
@@ -16,6 +16,7 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import supervisor as admin
 from sassafras_node.callers import supervisor as callers
+from sassafras_node.limits import supervisor as limits
 from sassafras_node.membership import supervisor as membership
 from sassafras_node.peers import supervisor as peers
 from sassafras_node.reports import fleet as _report_handlers  # noqa: F401
@@ -68,6 +69,7 @@
         ("store", functools.partial(store.run, runtime)),
         ("peers", functools.partial(peers.run, runtime, peer_listener)),
         ("membership", functools.partial(membership.run, runtime)),
+        ("limits", functools.partial(limits.run, runtime)),
         ("targets", functools.partial(targets.run, runtime, target_listener)),
         ("callers", functools.partial(callers.run, runtime, caller_listener)),
         ("admin", functools.partial(admin.run, runtime, admin_listener)),
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -124,7 +124,7 @@
     admission: Annotated[str, _registered(policies.admission_policies)] = (
         "adaptive"
     )
-    limiter: Annotated[str, _registered(limiters.limiters)] = "static-share"
+    limiter: Annotated[str, _registered(limiters.limiters)] = "token-escrow"
     retries: Annotated[str, _registered(retry_policies.retry_policies)] = (
         "budgeted"
     )
--- a/tests/contract/test_overload_path.py
+++ b/tests/contract/test_overload_path.py
@@ -19,6 +19,7 @@
 from sassafras_policy.configuration import indexes
 from sassafras_policy.membership import records
 from sassafras_policy.retries import guard
+from sassafras_policy.retries import policies as retry_policies
 from sassafras_standins.fleet import samples
 from sassafras_wire.http import client as http_client
 from sassafras_wire.settings import node as node_settings
@@ -77,8 +78,9 @@
         contexts=contexts.ContextTable(),
         drain=types.SimpleNamespace(is_draining=False),
         heard_levels=levels.HeardLevels(),
-        retry_guard=guard.RetryGuard(),
         peer_views=views.PeerViews(clock),
+        retry_guard=guard.RetryGuard(),
+        retry_policy=retry_policies.Budgeted(),
         table=types.SimpleNamespace(own_id=OWN_ID, own=own),
         target=types.SimpleNamespace(is_serving=True, gate=gate, pool=pool),
     )
