Show admission levels and the target's limit in the status

Cause: The status had no levels, because nothing learnt any when it was written.

Change: GET /status and `sassafras status` show the limit of the target beside the node and the admission level of each service: the target's own, and for other services what answers carried.

Conclusion: An operator sees which services refuse which classes from here.

--- a/packages/sassafras-cli/src/sassafras_cli/commands/status.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/status.py
@@ -32,9 +32,10 @@
         ("target state", target.state if target else None),
         ("target calls in flight", found.target_calls_in_flight),
         ("target load", found.target_load),
+        ("target limit", found.target_limit),
         ("calls to the store", found.store_calls),
         *(
-            (f"level of {service}", level)
+            (f"level of {service}", f"{level} of {found.open_level}")
             for service, level in sorted(found.levels.items())
         ),
         *(
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -1,6 +1,7 @@
 """The state of the node that answers."""
 
 import result
+from sassafras_policy.admission import levels
 from sassafras_policy.calls import outcomes
 from sassafras_wire.administration import models
 from sassafras_wire.settings import operators
@@ -32,7 +33,10 @@
             else None,
             target_calls_in_flight=runtime.contexts.count,
             target_load=runtime.target.gate.load,
+            target_limit=runtime.target.gate.limit,
             store_calls=runtime.store.calls,
+            open_level=_open_level(runtime),
+            levels=_levels(runtime),
             limits=tuple(
                 models.Limit(
                     organisation=organisation.name,
@@ -46,6 +50,28 @@
     )
 
 
+def _open_level(runtime: runtimes.Runtime) -> int:
+    index = runtime.configuration.index
+    return levels.open_level(index.class_count) if index else 0
+
+
+def _levels(runtime: runtimes.Runtime) -> dict[str, int]:
+    """Returns the admission level of each service as known here."""
+    index = runtime.configuration.index
+    if index is None:
+        return {}
+    opened = _open_level(runtime)
+    now = runtime.clock.now()
+    known = {
+        service.name: int(runtime.heard_levels.value(service.name, opened, now))
+        for service in index.document.services
+    }
+    own = runtime.target.announcement
+    if own is not None and own.service in known:
+        known[own.service] = runtime.target.gate.level
+    return known
+
+
 def _refusals(runtime: runtimes.Runtime) -> dict[str, int]:
     """Returns the root requests that did not run, by reason."""
     counts: dict[str, int] = {}
--- a/packages/sassafras-wire/src/sassafras_wire/administration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/administration/models.py
@@ -339,7 +339,11 @@
       calls_in_flight: Requests and peer calls being served.
       target_calls_in_flight: Calls that the target beside the node runs.
       target_load: Calls at that target as a part of its limit.
-      levels: Admission level by service; a lower one refuses more.
+      target_limit: Calls that the target may run at once.
+      open_level: The admission level at which every call is admitted.
+      levels: Admission level by service as known here: that of the target
+        beside the node, and for other services what answers carried. A lower
+        one refuses more.
       limits: Organisations with their rate and burst.
       refusals: Refused calls by reason since the start; None when the node
         does not count them.
@@ -355,7 +359,9 @@
     target: Target | None = None
     target_calls_in_flight: int = 0
     target_load: float = 0.0
+    target_limit: int = 0
     store_calls: int = 0
+    open_level: int = 0
     levels: dict[str, int] = {}
     limits: tuple["Limit", ...] = ()
     refusals: dict[str, int] | None = None
