--- a/tests/common/call_nodes.py
+++ b/tests/common/call_nodes.py
@@ -80,12 +80,8 @@
 class NoLimit:
     """Lets every request of an organisation pass."""
 
-    def configure(self, organisations, hosts):
-        del organisations, hosts
-
-    def take(self, organisation, now):
-        del organisation, now
-        return True
+    async def admit(self, organisation):
+        del organisation
 
 
 def make_runtime(folder, **policy):
@@ -111,7 +107,7 @@
         }
     )
     runtime = runtimes.Runtime(settings, clocks.TrioClock(), random.Random(1))
-    runtime.limiter = NoLimit()
+    runtime.gate = NoLimit()
     return runtime
 
 
