--- a/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
@@ -80,6 +80,8 @@
       peer_address: Where peers reach the node.
       admin_address: Where operators reach the node.
       target: Settings of the target stand-in.
+      store_address: Where the node looks for the store, when not at the
+        fleet's stand-in.
     """
 
     name: str
@@ -89,6 +91,7 @@
     peer_address: str
     admin_address: str
     target: target_settings.TargetSettings
+    store_address: str = ""
 
 
 def make_place(name: str, availability_zone: str, **target: object) -> Place:
@@ -282,7 +285,7 @@
             f"secret_file = {self.folder / 'secret'}\n"
             f"seeds = {seeds}\n"
             "[store]\n"
-            f"endpoints = {self.store_address}\n"
+            f"endpoints = {place.store_address or self.store_address}\n"
             "[admin]\n"
             f"operators_file = {self.folder / 'operators.ini'}\n"
             f"{self._extra_settings}"
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -57,6 +57,8 @@
         )
         self._received = bytearray()
         self._at_end = False
+        # The answer to HEAD carries the length of a body and not the body.
+        self._head_only = False
         self._arrived = trio.lowlevel.ParkingLot()
         self._consumed = trio.lowlevel.ParkingLot()
         self._serving: trio.CancelScope | None = None
@@ -149,7 +151,7 @@
             headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
         )
         data = self._connection.send(head) or b""
-        if answer.body:
+        if answer.body and not self._head_only:
             data += self._connection.send(h11.Data(data=answer.body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         await self._stream.send_all(data)
@@ -175,8 +177,11 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
+                # After the colon the parser quotes what it read, which may
+                # hold a key.
+                problem = str(error).split(":", 1)[0]
                 raise RequestRefusedError(
-                    self.peer, error.error_status_hint, str(error)
+                    self.peer, error.error_status_hint, problem
                 ) from None
             if event is h11.NEED_DATA:
                 if self._connection.they_are_waiting_for_100_continue:
@@ -184,6 +189,8 @@
                 await self._read()
             elif isinstance(event, h11.Request):
                 head = event
+                self._head_only = event.method == b"HEAD"
+                self._check_size(event)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.body_bytes:
@@ -197,6 +204,22 @@
             else:
                 return None
 
+    def _check_size(self, head: h11.Request) -> None:
+        """Refuses a header block over the limit that came in one piece.
+
+        The parser's own limit covers only blocks that are still incomplete.
+        """
+        size = len(head.target) + sum(
+            len(name) + len(value) + len(": \r\n")
+            for name, value in head.headers
+        )
+        if size > self._limits.header_bytes:
+            raise RequestRefusedError(
+                self.peer,
+                431,
+                f"the header block is over {self._limits.header_bytes} bytes",
+            )
+
     async def _send_continue(self) -> None:
         go_on = h11.InformationalResponse(status_code=100, headers=[])
         await self._stream.send_all(self._connection.send(go_on) or b"")
--- a/tests/common/nodes.py
+++ b/tests/common/nodes.py
@@ -10,6 +10,7 @@
 from sassafras_node import runtime as runtimes
 from sassafras_node import supervisor
 from sassafras_policy.membership import records
+from sassafras_policy.membership import roster as rosters
 from sassafras_standins.fleet import launcher
 from sassafras_wire.peer import link as links
 from sassafras_wire.settings import node as node_settings
@@ -90,6 +91,19 @@
         )
 
 
+def give_roster(hosts, service="desk"):
+    """Puts a roster of all hosts into force, as the store would give it."""
+    roster = rosters.Roster(
+        epoch=1,
+        members=tuple(
+            rosters.Member(node_id, service)
+            for node_id in sorted(host.node_id for host in hosts)
+        ),
+    )
+    for host in hosts:
+        host.runtime.roster.offer(roster)
+
+
 @contextlib.asynccontextmanager
 async def fleet(count, *, store_address="", zones=2, seeds=3, **peers):
     """Runs nodes that find each other through the first few of them."""
