--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -12,7 +12,9 @@
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
-from sassafras_node.calls import dispatch
+from sassafras_node.calls import idempotent
+from sassafras_node.calls import retrying
+from sassafras_node.calls import shedding
 
 _RETRY_AFTER_MS = 1000
 
@@ -46,6 +48,9 @@
         organisation = found.name if found else ""
     if not organisation and not entry.route.is_open:
         return _unauthenticated()
+    scope = idempotent.read_key(request, entry, organisation)
+    if isinstance(scope, messages.Answer):
+        return scope
     if organisation:
         due_in_s = await runtime.gate.admit(organisation)
         if due_in_s is not None:
@@ -60,8 +65,10 @@
         authority=contexts.LocalAuthority(
             allowance.RetryAllowance(index.document.retry_limit)
         ),
+        idempotency_scope=scope,
     )
-    return await dispatch.dispatch(runtime, request, call)
+    runtime.retry_guard.first_attempt(runtime.clock.now())
+    return await shedding.serve(runtime, request, call)
 
 
 async def handle_sub_call(
@@ -76,8 +83,8 @@
     entry = index.find_route(request.method, request.path_without_query)
     if entry is None:
         return _no_route(request)
-    parent = runtime.contexts.find(request.header(fields.CONTEXT))
-    if parent is None:
+    execution = runtime.contexts.find(request.header(fields.CONTEXT))
+    if execution is None:
         if not entry.route.is_open:
             return _unauthenticated()
         call = contexts.ActiveCall(
@@ -86,7 +93,9 @@
                 allowance.RetryAllowance(index.document.retry_limit)
             ),
         )
-        return await dispatch.dispatch(runtime, request, call)
+        runtime.retry_guard.first_attempt(runtime.clock.now())
+        return await shedding.serve(runtime, request, call)
+    parent = execution.call
     now = runtime.clock.now()
     context = messages.CallContext(
         root_id=parent.context.root_id,
@@ -100,8 +109,21 @@
         depth=parent.context.depth + 1,
         at_most_once=entry.route.at_most_once,
     )
-    call = contexts.ActiveCall(context=context, authority=parent.authority)
-    return await dispatch.dispatch(runtime, request, call)
+    scope = idempotent.read_key(request, entry, context.organisation)
+    if isinstance(scope, messages.Answer):
+        return scope
+    call = contexts.ActiveCall(
+        context=context, authority=parent.authority, idempotency_scope=scope
+    )
+    parent.trace.begin(now)
+    try:
+        answer = await retrying.serve_sub_call(
+            runtime, request, call, execution
+        )
+        parent.trace.learn(answer)
+    finally:
+        parent.trace.end(runtime.clock.now())
+    return answer
 
 
 def _new_context(
--- a/packages/sassafras-node/src/sassafras_node/peers/handlers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handlers.py
@@ -6,13 +6,14 @@
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import registry
+from sassafras_policy.configuration import document as documents
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.membership import rosters as roster_models
-from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
 
 from sassafras_node import runtime as runtimes
+from sassafras_node.calls import idempotent
 
 Handler = Callable[
     [runtimes.Runtime, links.Link, models.Message],
@@ -55,9 +56,13 @@
 ) -> models.Message | None:
     """Merges a peer's changes and answers with this node's own state."""
     assert isinstance(message, models.Heartbeat)
-    runtime.table.merge(
-        converters.model_to_record(change) for change in message.changes
-    )
+    if message.node_id != link.peer.node_id:
+        raise errors.ProtocolError(
+            "peer.heartbeat",
+            link.peer.node_id,
+            f"a heartbeat in the name of {message.node_id}",
+        )
+    runtime.outbox.merge(link, message.changes)
     runtime.silence.heard(message.node_id, runtime.clock.now())
     return models.HeartbeatAck(
         node_id=runtime.table.own_id,
@@ -89,6 +94,16 @@
     return None
 
 
+@message_handlers.register("record_claim")
+async def handle_record_claim(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> models.Message | None:
+    """Hands an idempotency record over to the new home of its key."""
+    del link
+    assert isinstance(message, models.RecordClaim)
+    return idempotent.hand_over(runtime, message)
+
+
 def document_content(runtime: runtimes.Runtime, kind: str) -> bytes:
     """Returns a document in force as it travels; empty when there is none."""
     if kind == ROSTER and runtime.roster.current.epoch:
@@ -112,6 +127,13 @@
     except errors.InvalidInputError as error:
         document_refused(source, str(error))
         return
+    put_into_force(runtime, document, source)
+
+
+def put_into_force(
+    runtime: runtimes.Runtime, document: documents.Document, source: str
+) -> None:
+    """Puts a document into force if its revision is higher."""
     if runtime.configuration.offer(document):
         configuration_in_force(document.revision, source)
 
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -7,14 +7,20 @@
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_base import supervision
+from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import homes
+from sassafras_policy.idempotency import records as idempotency_records
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
 from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
+from sassafras_policy.retries import backoff
+from sassafras_policy.retries import guard
+from sassafras_policy.retries import policies as retry_policies
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import link as links
@@ -24,10 +30,12 @@
 
 from sassafras_node.calls import contexts
 from sassafras_node.limits import gate as gates
+from sassafras_node.membership import neighbours
 from sassafras_node.membership import silence
 from sassafras_node.peers import outbox
 from sassafras_node.peers import pool as peer_pool
 from sassafras_node.peers import views
+from sassafras_node.reports import recorder
 from sassafras_node.targets import beside
 
 
@@ -76,17 +84,27 @@
       limiter: Rates of organisations.
       gate: Admission by the limiter; fed by the exchange of tokens.
       balancer: Choice among targets.
+      retry_policy: Whether a failed call is tried again.
+      retry_guard: Retries of this node as a part of its first attempts.
+      backoff: Waits before a retry at the same target.
+      homes: Which node keeps the record of an idempotency key.
+      idempotency: Idempotency records kept by this node.
+      running_keys: Set when the first request of a key has ended.
       store: Client of the platform's key-value service.
       credentials: Identity and peer secret.
       drain: Work in flight and planned stop.
       target: The target beside the node; fed by the target's session.
+      heard_levels: Admission levels of services, learnt from answers.
       peer_views: Targets of other nodes as seen from here.
       peer_pools: Call connections to peers.
+      neighbours: Chooses the neighbours that get heartbeats.
       silence: When neighbours were last heard.
       outbox: Membership changes still to be sent.
+      recorder: How root requests ended; fed by callers' sessions.
       supervisors: Running supervisors by path.
       changed: Set and replaced when membership or configuration changes.
       watch_wanted: Set while this node is its availability zone's watcher.
+      watch_unwanted: Set while it is not.
       http_limits: Bounds on requests.
     """
 
@@ -114,6 +132,16 @@
         self.gate = gates.Gate(self.limiter, clock)
         factory = balancers.balancers.get(settings.policy.balancer)
         self.balancer = factory(rng)  # type: ignore[call-arg]
+        self.retry_policy = retry_policies.retry_policies.get(
+            settings.policy.retries
+        )()
+        self.retry_guard = guard.RetryGuard()
+        self.backoff = backoff.Backoff(rng)
+        self.homes = homes.Homes(
+            own.node_id, own.incarnation, clock.now_with_suspend()
+        )
+        self.idempotency = idempotency_records.Records()
+        self.running_keys: dict[str, trio.Event] = {}
         self.store = store_client.StoreClient(settings.store)
         self.credentials = links.Credentials(
             identity=authentication.Identity(
@@ -132,20 +160,38 @@
             idle_timeout_s=http.idle_timeout_s,
         )
         self.target = beside.TargetBeside(settings, clock)
-        self.peer_views = views.PeerViews()
+        self.heard_levels = levels.HeardLevels()
+        self.peer_views = views.PeerViews(clock)
         self.peer_pools = peer_pool.PeerPools(
             self.credentials, settings.peers.connections_per_peer
         )
+        self.neighbours = neighbours.Neighbours(
+            self.table, settings.peers.seeds
+        )
         self.silence = silence.SilenceTracker()
         self.outbox = outbox.Outbox(self.table)
+        self.recorder = recorder.Recorder(self.configuration, clock)
         self.supervisors: dict[str, supervision.Supervisor] = {}
         self.changed = trio.Event()
         self.watch_wanted = trio.Event()
+        self.watch_unwanted = trio.Event()
+        self.watch_unwanted.set()
         self._situation: limiters.Situation | None = None
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
         self.roster.subscribe(self._on_roster)
 
+    def start_watching(self) -> None:
+        """Makes this node its availability zone's watcher."""
+        self.watch_unwanted = trio.Event()
+        self.watch_wanted.set()
+
+    def stop_watching(self) -> None:
+        """Ends the watcher's work, if there is any."""
+        if self.watch_wanted.is_set():
+            self.watch_wanted = trio.Event()
+        self.watch_unwanted.set()
+
     def _on_member(self, record: records.NodeRecord) -> None:
         del record
         self._configure_limiter()
@@ -153,11 +199,12 @@
 
     def _on_configuration(self, index: indexes.Index) -> None:
         self.target.set_class_count(index.class_count)
+        self.target.set_stopped(index.document.stopped_targets)
         self._configure_limiter()
         self._wake()
 
     def _on_roster(self, roster: rosters.Roster) -> None:
-        del roster
+        self.homes.adopt(roster, self.clock.now_with_suspend())
         self._configure_limiter()
         self._wake()
 
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -1,8 +1,8 @@
 """The root of the supervisor tree.
 
-Children: `store`, `peers`, `membership`, `limits`, `targets` and `callers`,
-each a supervisor of its own. One that gives up is restarted here; when that
-happens too often the root gives up and the process exits with an error.
+Children: `store`, `peers`, `membership`, `limits`, `targets`, `callers` and
+`admin`, each a supervisor of its own. One that gives up is restarted here; when
+that happens too often the root gives up and the process exits with an error.
 """
 
 import functools
@@ -12,11 +12,14 @@
 from sassafras_policy.membership import records
 import trio
 
+from sassafras_node import listening
 from sassafras_node import runtime as runtimes
+from sassafras_node.admin import supervisor as admin
 from sassafras_node.callers import supervisor as callers
 from sassafras_node.limits import supervisor as limits
 from sassafras_node.membership import supervisor as membership
 from sassafras_node.peers import supervisor as peers
+from sassafras_node.reports import fleet as _report_handlers  # noqa: F401
 from sassafras_node.store import supervisor as store
 from sassafras_node.targets import announcements
 from sassafras_node.targets import supervisor as targets
@@ -55,10 +58,11 @@
         callers.make_listener(runtime),
         targets.make_listener(runtime),
         peers.make_listener(runtime),
+        admin.make_listener(runtime),
     ]
     for listener in listeners:
         await listener.bind()
-    caller_listener, target_listener, peer_listener = listeners
+    caller_listener, target_listener, peer_listener, admin_listener = listeners
     root = supervision.Supervisor("node")
     runtime.supervisors[root.path] = root
     children = [
@@ -68,6 +72,7 @@
         ("limits", functools.partial(limits.run, runtime)),
         ("targets", functools.partial(targets.run, runtime, target_listener)),
         ("callers", functools.partial(callers.run, runtime, caller_listener)),
+        ("admin", functools.partial(admin.run, runtime, admin_listener)),
     ]
     try:
         async with trio.open_nursery() as nursery:
@@ -80,7 +85,7 @@
             )
             task_status.started()
             await runtime.drain.requested.wait()
-            await _drain(runtime)
+            await _drain(runtime, caller_listener)
             nursery.cancel_scope.cancel()
     finally:
         with trio.CancelScope(shield=True):
@@ -88,12 +93,19 @@
                 await listener.close()
 
 
-async def _drain(runtime: runtimes.Runtime) -> None:
+async def _drain(
+    runtime: runtimes.Runtime, callers_at: listening.Listener
+) -> None:
     node_draining(runtime.drain.in_flight)
     announcements.publish(runtime)
+    # Callers on open connections are told to go elsewhere meanwhile.
     await trio.sleep(_LEAVE_NOTICE_S)
+    # New callers find the port closed, so they know that nothing was sent.
+    await callers_at.close()
     with trio.move_on_after(_DRAIN_TIMEOUT_S):
         await runtime.drain.idle.wait()
     runtime.table.update_own(status=records.Status.LEFT)
     await trio.sleep(_LEAVE_NOTICE_S / 2)
+    with trio.move_on_after(_DRAIN_TIMEOUT_S):
+        await runtime.drain.idle.wait()
     node_stopped(runtime.drain.in_flight)
--- a/packages/sassafras-standins/src/sassafras_standins/store/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/store/server.py
@@ -16,6 +16,7 @@
 from sassafras_standins.store import faults as fault_modes
 
 _WATCH = "/v3/watch"
+_EXPIRY_INTERVAL_S = 0.1
 
 
 class StoreServer:
@@ -34,31 +35,23 @@
         """Serves at an address until cancelled."""
         host, port = http_client.split_address(address)
         listeners = await trio.open_tcp_listeners(port, host=host)
-        task_status.started()
-        await trio.serve_listeners(self.serve, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire_forever)
+            task_status.started()
+            await trio.serve_listeners(self.serve, listeners)
+
+    async def _expire_forever(self) -> None:
+        """Ends leases on time, also while nobody calls."""
+        while True:
+            await trio.sleep(_EXPIRY_INTERVAL_S)
+            self.data.expire()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serves one connection, one request on it."""
+        """Serves the requests of one connection, one after another."""
         connection = h11.Connection(h11.SERVER)
         try:
-            request, body = await _receive(connection, stream)
-            path = request.target.decode()
-            if path.startswith("/standin/"):
-                content = self._control(path, body)
-                await _respond(connection, stream, content)
-                return
-            self.faults.count(path)
-            if self.faults.mode is fault_modes.Mode.DOWN:
-                return
-            if self.faults.mode is fault_modes.Mode.SLOW:
-                await trio.sleep(self.faults.delay_s)
-            if path == _WATCH:
-                await self._watch(connection, stream, json.loads(body))
-                return
-            content = self._call(path, json.loads(body))
-            if self._loses_answer(path):
-                return
-            await _respond(connection, stream, content)
+            while await self._serve_request(connection, stream):
+                connection.start_next_cycle()
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
@@ -69,6 +62,29 @@
         finally:
             await trio.aclose_forcefully(stream)
 
+    async def _serve_request(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> bool:
+        """Serves a request; returns whether the connection stays open."""
+        request, body = await _receive(connection, stream)
+        path = request.target.decode()
+        if path.startswith("/standin/"):
+            await _respond(connection, stream, self._control(path, body))
+            return True
+        self.faults.count(path)
+        if self.faults.mode is fault_modes.Mode.DOWN:
+            return False
+        if self.faults.mode is fault_modes.Mode.SLOW:
+            await trio.sleep(self.faults.delay_s)
+        if path == _WATCH:
+            await self._watch(connection, stream, json.loads(body))
+            return False
+        content = self._call(path, json.loads(body))
+        if self._loses_answer(path):
+            return False
+        await _respond(connection, stream, content)
+        return True
+
     def _loses_answer(self, path: str) -> bool:
         if path != "/v3/kv/txn":
             return False
@@ -95,10 +111,14 @@
                 base64.b64decode(body["key"]),
                 base64.b64decode(body.get("range_end", "")),
             )
-            return {
-                "header": header,
-                "kvs": [_key_value(key, entry) for key, entry in found],
-            }
+            kvs = [_key_value(key, entry) for key, entry in found]
+            if body.get("keys_only"):
+                for item in kvs:
+                    del item["value"]
+            return {"header": header, "kvs": kvs}
+        if path == "/v3/kv/deleterange":
+            deleted = self.data.delete(base64.b64decode(body["key"]))
+            return {"header": header, "deleted": str(deleted)}
         if path == "/v3/kv/txn":
             compare = body["compare"][0]
             put = body["success"][0]["request_put"]
@@ -108,6 +128,7 @@
                 int(compare["mod_revision"]),
                 int(put.get("lease", 0)),
             )
+            header = {"revision": str(self.data.revision)}
             return {"header": header, "succeeded": succeeded}
         if path == "/v3/lease/grant":
             lease = self.data.grant(float(body["TTL"]))
@@ -218,7 +239,6 @@
     headers = [
         ("content-type", "application/json"),
         ("content-length", str(len(body))),
-        ("connection", "close"),
     ]
     data_out = connection.send(h11.Response(status_code=200, headers=headers))
     data_out = (data_out or b"") + (connection.send(h11.Data(data=body)) or b"")
--- a/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
@@ -26,6 +26,7 @@
         load=answer.load,
         leaving=answer.leaving,
         retryable=answer.retryable,
+        sub_call_failed=answer.sub_call_failed,
     )
 
 
@@ -46,6 +47,7 @@
         load=message.load,
         leaving=message.leaving,
         retryable=message.retryable,
+        sub_call_failed=message.sub_call_failed,
     )
 
 
@@ -57,12 +59,15 @@
 def model_to_record(model: models.NodeRecordModel) -> records.NodeRecord:
     """Returns the membership record of a model.
 
-    Raises:
-      ValueError: The target state is not known.
+    A target state that only a newer version knows counts as absent, so that
+    the target gets no calls from here.
     """
     content = model.model_dump()
     content["status"] = records.Status(model.status)
-    content["target_state"] = records.TargetState(model.target_state)
+    try:
+        content["target_state"] = records.TargetState(model.target_state)
+    except ValueError:
+        content["target_state"] = records.TargetState.ABSENT
     return records.NodeRecord(**content)
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -97,14 +97,22 @@
     load: float = 0.0
     leaving: bool = False
     retryable: bool = False
+    sub_call_failed: bool = False
 
 
 @message_types.register("retry_ask")
 class RetryAsk(Message):
-    """Asks the first node for one more retry, on the call's connection."""
+    """Asks the first node for one more retry, on the call's connection.
+
+    Attributes:
+      call_id: The call whose connection it travels on.
+      ask_id: Rises with each ask of a call, so that a late or doubled grant
+        is not taken for the answer to another ask.
+    """
 
     type: Literal["retry_ask"] = "retry_ask"
     call_id: int
+    ask_id: int = 0
 
 
 @message_types.register("retry_grant")
@@ -113,9 +121,46 @@
 
     type: Literal["retry_grant"] = "retry_grant"
     call_id: int
+    ask_id: int = 0
     granted: bool
 
 
+@message_types.register("record_claim")
+class RecordClaim(Message):
+    """Asks an earlier home of a key for its idempotency record.
+
+    Attributes:
+      epoch: Roster epoch that makes the sender the home.
+      service: Service of the route.
+      scope: Digest of organisation, route and key.
+    """
+
+    type: Literal["record_claim"] = "record_claim"
+    epoch: int
+    service: str
+    scope: str = pydantic.Field(max_length=64)
+
+
+@message_types.register("record_handover")
+class RecordHandover(Message):
+    """Answers a claim; the sender keeps the record no longer.
+
+    Attributes:
+      scope: The key of the claim.
+      holding: `none`, `held` or `unknown`.
+      fingerprint: Digest of the request.
+      kept: Whether the answer is whole.
+      answer: The stored answer.
+    """
+
+    type: Literal["record_handover"] = "record_handover"
+    scope: str
+    holding: str
+    fingerprint: bytes = b""
+    kept: bool = True
+    answer: AnswerMessage | None = None
+
+
 class NodeRecordModel(pydantic.BaseModel):
     """A membership record as it travels between nodes."""
 
@@ -175,6 +220,54 @@
     content: bytes
 
 
+class ReportSeries(pydantic.BaseModel):
+    """Recordings of one service and organisation."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    service: str
+    organisation: str
+    windows: dict[int, tuple[int, int]]
+    latency_ms: bytes
+
+
+@message_types.register("report_fetch")
+class ReportFetch(Message):
+    """Asks a node for its recordings."""
+
+    type: Literal["report_fetch"] = "report_fetch"
+
+
+@message_types.register("report")
+class Report(Message):
+    """A node's recordings."""
+
+    type: Literal["report"] = "report"
+    node_id: str
+    series: list[ReportSeries] = []
+
+
+@message_types.register("status_fetch")
+class StatusFetch(Message):
+    """Asks for the state of a node, at an operator's request."""
+
+    type: Literal["status_fetch"] = "status_fetch"
+
+
+@message_types.register("status")
+class StatusMessage(Message):
+    """The state of a node and of the target beside it."""
+
+    type: Literal["status"] = "status"
+    node_id: str
+    incarnation: int
+    config_revision: int
+    roster_epoch: int = 0
+    target_address: str = ""
+    target_state: str = "absent"
+    calls_in_flight: int = 0
+
+
 @message_types.register("token_ask")
 class TokenAsk(Message):
     """Asks a holder for tokens of an organisation."""
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -8,6 +8,7 @@
 from sassafras_policy.admission import policies
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
+from sassafras_policy.retries import policies as retry_policies
 
 
 def _check_address(value: str) -> str:
@@ -78,6 +79,8 @@
       heartbeat_interval_s: Seconds between heartbeats to a neighbour.
       suspect_after_s: Silence after which a neighbour is suspect.
       dead_after_s: Silence after which it is dead.
+      forget_after_s: Time for which dead and departed nodes are remembered,
+        twice over; longer than the longest cut between regions.
       connections_per_peer: Call connections kept open to one peer.
     """
 
@@ -86,6 +89,7 @@
     heartbeat_interval_s: float = pydantic.Field(default=1.0, gt=0)
     suspect_after_s: float = pydantic.Field(default=1.5, gt=0)
     dead_after_s: float = pydantic.Field(default=3.0, gt=0)
+    forget_after_s: float = pydantic.Field(default=7200.0, gt=0)
     connections_per_peer: int = pydantic.Field(default=32, gt=0)
 
 
@@ -118,9 +122,12 @@
 
     balancer: Annotated[str, _registered(balancers.balancers)] = "power-of-two"
     admission: Annotated[str, _registered(policies.admission_policies)] = (
-        "slots"
+        "adaptive"
     )
     limiter: Annotated[str, _registered(limiters.limiters)] = "token-escrow"
+    retries: Annotated[str, _registered(retry_policies.retry_policies)] = (
+        "budgeted"
+    )
 
 
 class AdminSection(Section):
