Let revisions in records wait for heartbeats; even out heartbeats

On three rings of eight nodes the same node is often next on several, so some nodes got heartbeats from many others; and each change of configuration woke all links for the revisions in the records of all nodes.

Change: fleets of up to 24 nodes use one ring, where every node has three predecessors. A change of the revision in a record travels with the next heartbeat.

--- a/packages/sassafras-node/src/sassafras_node/membership/neighbours.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/neighbours.py
@@ -5,6 +5,11 @@
 
 NEIGHBOUR_COUNT = 3
 
+# Up to this size the successors on one ring are at most 8 hops from any node.
+# On three rings of few nodes the same node is often next on several, and some
+# nodes would get heartbeats from twice as many others.
+_LARGEST_SINGLE_RING = 24
+
 # Alone, a node tries other seeds after this time, so that three seeds that
 # are down do not keep it out of the fleet.
 _SEED_ROTATION_S = 5.0
@@ -13,10 +18,10 @@
 class Neighbours:
     """Chooses the successors of a node on rings of hashed ids.
 
-    There is one ring for each neighbour, each hashed in its own way. The
-    successors on a single ring would pass a change on to the nearest third of
-    nodes only, so that it took N/3 hops to reach all; over several rings the
-    number of hops grows with the logarithm of N.
+    In a small fleet they are the next nodes on one ring, which takes N/3 hops
+    to pass a change on to all. In a larger one there is a ring for each
+    neighbour, hashed in its own way, and the number of hops grows with the
+    logarithm of N.
     """
 
     def __init__(self, table: tables.Table, seeds: tuple[str, ...]) -> None:
@@ -50,7 +55,9 @@
             for node_id in known
         }
         chosen: list[str] = []
-        for ring in range(NEIGHBOUR_COUNT):
+        is_small = len(known) < _LARGEST_SINGLE_RING
+        for number in range(NEIGHBOUR_COUNT):
+            ring = 0 if is_small else number
             rest = known.difference(chosen)
             if rest:
                 chosen.append(
--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -39,10 +39,10 @@
 
 
 async def _wait_for_news(runtime: runtimes.Runtime, link: links.Link) -> None:
-    """Waits until there is something that the neighbour does not have."""
+    """Waits until there is something that the neighbour needs at once."""
     documents = link.documents
     while (
-        not runtime.outbox.has_more(link)
+        not runtime.outbox.has_urgent(link)
         and runtime.configuration.revision
         <= documents.get(handlers.CONFIGURATION, 0)
         and runtime.roster.current.epoch <= documents.get(handlers.ROSTER, 0)
--- a/packages/sassafras-node/src/sassafras_node/peers/outbox.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/outbox.py
@@ -65,6 +65,11 @@
             state.received.clear()
         return outgoing
 
+    def has_urgent(self, link: links.Link) -> bool:
+        """Returns whether changes are left that should travel at once."""
+        sequence = self._state(link).sequence
+        return sequence < self._table.urgent_sequence and self.has_more(link)
+
     def has_more(self, link: links.Link) -> bool:
         """Returns whether changes are left for a further message."""
         state = self._state(link)
--- a/packages/sassafras-policy/src/sassafras_policy/membership/table.py
+++ b/packages/sassafras-policy/src/sassafras_policy/membership/table.py
@@ -17,12 +17,17 @@
     Attributes:
       own_id: Id of the node that owns the table.
       sequence: Number of the last change; rises by one with each.
+      urgent_sequence: Number of the last change that should travel at once. A
+        new configuration revision in a record is for operators to see and
+        may wait for the next heartbeat; each change of configuration puts one
+        into the record of every node.
       ring_version: Rises whenever a node joins `peers` or drops out of it.
     """
 
     def __init__(self, own: records.NodeRecord) -> None:
         self.own_id = own.node_id
         self.sequence = 1
+        self.urgent_sequence = 1
         self.ring_version = 0
         self._records = {own.node_id: own}
         # Ordered by the number of the last change of each record.
@@ -213,6 +218,8 @@
         if known is None or (known.status in _GONE) != (record.status in _GONE):
             self.ring_version += 1
         self.sequence += 1
+        if known is None or not _is_same_but_revision(known, record):
+            self.urgent_sequence = self.sequence
         self._records[record.node_id] = record
         self._changed_at.pop(record.node_id, None)
         self._changed_at[record.node_id] = self.sequence
@@ -220,3 +227,11 @@
         for listener in self._listeners:
             listener(record)
         return record
+
+
+def _is_same_but_revision(
+    known: records.NodeRecord, record: records.NodeRecord
+) -> bool:
+    return record == dataclasses.replace(
+        known, version=record.version, config_revision=record.config_revision
+    )
--- a/tests/contract/test_membership_fleet.py
+++ b/tests/contract/test_membership_fleet.py
@@ -1,6 +1,8 @@
 """Membership and configuration among nodes of one process."""
 
+import collections
 import dataclasses
+import itertools
 
 from common import nodes
 from common import waiting
@@ -218,7 +220,7 @@
         )
 
 
-@pytest.mark.parametrize("size", [1, 2, 3, 4, 12, 200])
+@pytest.mark.parametrize("size", [1, 2, 3, 4, 12, 24, 25, 200])
 def test_neighbours_are_distinct_and_reach_all_in_few_hops(size):
     """Guards against changes that need a number of hops that grows with N."""
     ids = [f"10.0.0.{number}:7401" for number in range(size)]
@@ -234,6 +236,10 @@
     for node, chosen in successors.items():
         assert len(set(chosen)) == min(neighbours.NEIGHBOUR_COUNT, size - 1)
         assert node not in chosen
+    heard_by = collections.Counter(itertools.chain(*successors.values()))
+    assert max(heard_by.values(), default=0) <= 2 * neighbours.NEIGHBOUR_COUNT
+    if size <= 24:
+        assert len(set(heard_by.values())) <= 1
     hops, reached, newest = 0, {ids[0]}, {ids[0]}
     while newest:
         newest = {n for node in newest for n in successors[node]} - reached
