--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -49,7 +49,8 @@
             retry_after_ms=levels.retry_after_ms(call.context.rank, gate.level),
         )
     else:
-        # Closes the target connection when the deadline passes.
+        # Closes the target connection when the deadline passes, and leaves
+        # time to say so with the levels of the services met.
         answer = await deadlines.bounded(
             runtime,
             call,
--- a/tests/contract/test_overload_path.py
+++ b/tests/contract/test_overload_path.py
@@ -32,8 +32,9 @@
 class FakeTargetPool:
     """A target whose answer takes a while; notes what was cut off."""
 
-    def __init__(self, answer_s=0.05, status=200, error=None):
+    def __init__(self, answer_s=0.05, status=200, error=None, connect_s=0.0):
         self.answer_s = answer_s
+        self.connect_s = connect_s
         self.status = status
         self.error = error
         self.requests = []
@@ -44,8 +45,9 @@
         self.requests.append(request)
         if self.error is not None:
             raise self.error
-        progress.may_have_run = True
         try:
+            await trio.sleep(self.connect_s)
+            progress.may_have_run = True
             if self.during is not None:
                 await self.during(request)
             await trio.sleep(self.answer_s)
@@ -114,6 +116,16 @@
     assert runtime.target.gate.load == 0.0
 
 
+async def test_a_deadline_that_passes_before_the_hand_over_is_not_run():
+    """Guards against an outcome that is less certain than it could be."""
+    pool = FakeTargetPool(connect_s=60.0)
+    runtime = _runtime(pool)
+    answer = await local.serve(runtime, _request(), _call(deadline_s=0.5))
+    assert pool.cut == 1
+    assert answer.outcome is outcomes.Outcome.NOT_RUN
+    assert dict(answer.levels) == {"desk": OPEN}
+
+
 async def test_a_caller_that_leaves_cuts_the_call_off_at_the_target():
     """Guards against work for callers that have gone."""
     pool = FakeTargetPool(answer_s=60.0)
