Read each peer connection in one reader task instead of one task a call

Change: one reader for each connection passes grants to the call in progress and ends it when the peer leaves.

--- a/packages/sassafras-node/src/sassafras_node/peers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/session.py
@@ -86,6 +86,86 @@
         return False
 
 
+class Incoming:
+    """Reads one connection, whether or not a call is being served on it.
+
+    Grants go to the call in progress. A lost connection ends that call.
+    """
+
+    def __init__(self, link: links.Link) -> None:
+        self._link = link
+        self._send, self._messages = trio.open_memory_channel[models.Message](0)
+        self._call: RemoteAuthority | None = None
+        self._scope: trio.CancelScope | None = None
+        self._error: errors.SassafrasError | None = None
+
+    async def run(self) -> None:
+        """Reads messages until the connection ends."""
+        try:
+            while True:
+                message = await self._link.receive()
+                if isinstance(message, models.RetryGrant):
+                    # Without a call, it came after its ask had timed out.
+                    if self._call is not None:
+                        self._call.granted(message)
+                elif self._scope is not None:
+                    raise errors.ProtocolError(
+                        "peer.call",
+                        self._link.address,
+                        f"{message.type!r} came before the call's answer",
+                    )
+                else:
+                    await self._send.send(message)
+        except (
+            errors.ConnectionLostError,
+            errors.ProtocolError,
+            trio.BrokenResourceError,
+        ) as error:
+            if isinstance(error, errors.SassafrasError):
+                self._error = error
+            self._send.close()
+            if self._scope is not None:
+                self._scope.cancel()
+
+    async def receive(self) -> models.Message:
+        """Returns the next message that is no grant.
+
+        Raises:
+          ConnectionLostError: The connection is closed.
+          ProtocolError: The peer broke the protocol.
+        """
+        try:
+            return await self._messages.receive()
+        except trio.EndOfChannel:
+            raise self._ended() from None
+
+    async def serve_call(
+        self, runtime: runtimes.Runtime, message: models.Call
+    ) -> messages.Answer:
+        """Serves a call, and stops when the connection ends.
+
+        Raises:
+          ConnectionLostError: The peer left during its call.
+          ProtocolError: The peer broke the protocol during its call.
+        """
+        if self._error is not None:
+            raise self._error
+        self._call = RemoteAuthority(self._link, message.call_id)
+        try:
+            with trio.CancelScope() as self._scope:
+                return await inbound.handle_peer_call(
+                    runtime, message, self._call
+                )
+        finally:
+            self._call = self._scope = None
+        raise self._ended()
+
+    def _ended(self) -> errors.SassafrasError:
+        return self._error or errors.ConnectionLostError(
+            "peer.call", self._link.address, "the connection ended"
+        )
+
+
 async def serve(
     runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
 ) -> None:
@@ -95,19 +175,18 @@
             link = await links.accept_link(
                 nursery, stream, peer, runtime.credentials
             )
+            incoming = Incoming(link)
+            nursery.start_soon(incoming.run)
             last_call_id = 0
             while True:
-                message = await link.receive()
+                message = await incoming.receive()
                 if isinstance(message, models.Call):
                     if message.call_id <= last_call_id:
                         raise errors.ProtocolError(
                             "peer.call", peer, "a call id was used twice"
                         )
                     last_call_id = message.call_id
-                    await _serve_call(runtime, link, message)
-                elif isinstance(message, models.RetryGrant):
-                    # It came after its ask had timed out and its call ended.
-                    continue
+                    await _serve_call(runtime, link, incoming, message)
                 else:
                     await _serve_control(runtime, link, message)
         except errors.ConnectionLostError:
@@ -134,33 +213,14 @@
 
 
 async def _serve_call(
-    runtime: runtimes.Runtime, link: links.Link, message: models.Call
+    runtime: runtimes.Runtime,
+    link: links.Link,
+    incoming: Incoming,
+    message: models.Call,
 ) -> None:
-    authority = RemoteAuthority(link, message.call_id)
-    answer: messages.Answer | None = None
     runtime.drain.enter()
     try:
-        async with trio.open_nursery() as nursery:
-
-            async def listen() -> None:
-                """Passes grants on; ends the call when the peer is gone."""
-                try:
-                    while True:
-                        reply = await link.receive()
-                        if not isinstance(reply, models.RetryGrant):
-                            break
-                        authority.granted(reply)
-                except (errors.ConnectionLostError, errors.ProtocolError):
-                    pass
-                nursery.cancel_scope.cancel()
-
-            nursery.start_soon(listen)
-            answer = await inbound.handle_peer_call(runtime, message, authority)
-            nursery.cancel_scope.cancel()
-        if answer is None:
-            raise errors.ConnectionLostError(
-                "peer.call", link.address, "the peer left during its call"
-            )
+        answer = await incoming.serve_call(runtime, message)
         await link.send(converters.answer_to_message(message.call_id, answer))
     finally:
         runtime.drain.leave()
