Look targets up by service instead of searching all nodes for each call

Cause: each call searched the whole membership table. Change: the table keeps its records by service as well.

--- a/packages/sassafras-policy/src/sassafras_policy/membership/table.py
+++ b/packages/sassafras-policy/src/sassafras_policy/membership/table.py
@@ -30,6 +30,8 @@
         self.urgent_sequence = 1
         self.ring_version = 0
         self._records = {own.node_id: own}
+        # Every call looks up the targets of one service.
+        self._by_service = {own.service: {own.node_id: own}}
         # Ordered by the number of the last change of each record.
         self._changed_at = {own.node_id: 1}
         self._doubted: dict[str, records.NodeRecord] = {}
@@ -74,8 +76,8 @@
         """Returns the nodes whose targets of the service take calls."""
         return [
             record
-            for record in self._records.values()
-            if record.service == service and record.takes_calls
+            for record in self._by_service.get(service, {}).values()
+            if record.takes_calls
         ]
 
     def changes_since(
@@ -159,6 +161,7 @@
         if node_id == self.own_id or record is None:
             return
         del self._records[node_id]
+        self._leave_service(record)
         del self._changed_at[node_id]
         self._doubted.pop(node_id, None)
         self._forgotten[node_id] = record
@@ -221,6 +224,10 @@
         if known is None or not _is_same_but_revision(known, record):
             self.urgent_sequence = self.sequence
         self._records[record.node_id] = record
+        if known is not None and known.service != record.service:
+            self._leave_service(known)
+        service = self._by_service.setdefault(record.service, {})
+        service[record.node_id] = record
         self._changed_at.pop(record.node_id, None)
         self._changed_at[record.node_id] = self.sequence
         self._doubted.pop(record.node_id, None)
@@ -228,6 +235,12 @@
             listener(record)
         return record
 
+    def _leave_service(self, record: records.NodeRecord) -> None:
+        service = self._by_service[record.service]
+        del service[record.node_id]
+        if not service:
+            del self._by_service[record.service]
+
 
 def _is_same_but_revision(
     known: records.NodeRecord, record: records.NodeRecord
--- a/tests/contract/test_membership_table.py
+++ b/tests/contract/test_membership_table.py
@@ -149,3 +149,24 @@
     assert table.ring_version == version
     table.mark("peer", DEAD)
     assert table.ring_version > version
+
+
+def test_targets_of_a_service_follow_every_change_of_a_record():
+    """Guards against calls to a target that changed service or is gone."""
+    serving = records.TargetState.SERVING
+
+    def beside(node_id, service, version=1):
+        return _record(
+            node_id, version=version, service=service, target_state=serving
+        )
+
+    table = tables.Table(beside("a", "desk"))
+    table.merge([beside("b", "desk"), beside("c", "ledger")])
+    assert {r.node_id for r in table.serving("desk")} == {"a", "b"}
+    table.merge([beside("b", "ledger", version=2)])
+    assert {r.node_id for r in table.serving("desk")} == {"a"}
+    assert {r.node_id for r in table.serving("ledger")} == {"b", "c"}
+    table.mark("c", records.Status.DEAD)
+    table.forget("c")
+    assert {r.node_id for r in table.serving("ledger")} == {"b"}
+    assert table.serving("nothing") == []
