Bound the request bodies that a node holds for all connections together

Cause: each body was bounded but their sum was not, so uploads at once could take a node over its memory. Answers of targets are bounded one by one only.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -11,13 +11,23 @@
 from sassafras_node import runtime as runtimes
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
+_REASONS = {
+    413: outcomes.Reason.BODY_TOO_LARGE,
+    503: outcomes.Reason.MEMORY,
+}
+_RETRY_AFTER_MS = 1000
+
 RefusalForm = Callable[[http_server.RequestRefusedError], messages.Answer]
 
 
 def refusal_as_text(error: http_server.RequestRefusedError) -> messages.Answer:
     """Returns the answer to a request that breaks HTTP/1.1 or a limit."""
+    reason = _REASONS.get(error.status, outcomes.Reason.BAD_REQUEST)
     return messages.refusal(
-        outcomes.Reason.BAD_REQUEST, error.status, error.problem
+        reason,
+        error.status,
+        error.problem,
+        retry_after_ms=_RETRY_AFTER_MS if error.status == 503 else 0,
     )
 
 
@@ -33,7 +43,9 @@
     A request counts as in flight from its first byte on, so that a planned
     stop waits for a request that is still arriving.
     """
-    connection = http_server.ServerConnection(stream, peer, runtime.http_limits)
+    connection = http_server.ServerConnection(
+        stream, peer, runtime.http_limits, runtime.body_budget
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(connection.run_reader)
         try:
@@ -69,6 +81,7 @@
         await connection.send(answer, close=runtime.drain.is_draining)
         return True
     finally:
+        connection.release_body()
         runtime.drain.leave()
 
 
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -108,6 +108,7 @@
       watch_wanted: Set while this node is its availability zone's watcher.
       watch_unwanted: Set while it is not.
       http_limits: Bounds on requests.
+      body_budget: Bytes of request bodies held by all connections.
     """
 
     def __init__(
@@ -156,6 +157,7 @@
         idle.set()
         self.drain = Drain(trio.Event(), 0, idle)
         http = settings.http
+        self.body_budget = http_server.BodyBudget(http.buffered_bytes)
         self.http_limits = http_server.ServerLimits(
             header_bytes=http.header_bytes,
             body_bytes=http.body_bytes,
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -36,6 +36,30 @@
         super().__init__(_STEP, peer, problem, "correct the request")
 
 
+class BodyBudget:
+    """Bytes of request bodies that all connections may hold together."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Bytes held now."""
+        return self._held
+
+    def take(self, size: int) -> bool:
+        """Takes bytes if the limit allows it; returns whether it did."""
+        if self._held + size > self._limit:
+            return False
+        self._held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Gives bytes back."""
+        self._held -= size
+
+
 class ServerConnection:
     """Reads requests from a stream and writes their answers, in order.
 
@@ -47,11 +71,17 @@
     """
 
     def __init__(
-        self, stream: trio.abc.Stream, peer: str, limits: ServerLimits
+        self,
+        stream: trio.abc.Stream,
+        peer: str,
+        limits: ServerLimits,
+        budget: BodyBudget | None = None,
     ) -> None:
         self.peer = peer
         self._stream = stream
         self._limits = limits
+        self._budget = budget
+        self._held = 0
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
@@ -156,6 +186,12 @@
         data += self._connection.send(h11.EndOfMessage()) or b""
         await self._stream.send_all(data)
 
+    def release_body(self) -> None:
+        """Gives back the bytes of the body of the request that has ended."""
+        if self._budget is not None:
+            self._budget.give_back(self._held)
+        self._held = 0
+
     async def close(self) -> None:
         """Closes the stream at once."""
         await trio.aclose_forcefully(self._stream)
@@ -192,6 +228,7 @@
                 self._head_only = event.method == b"HEAD"
                 self._check_size(event)
             elif isinstance(event, h11.Data):
+                self._hold(len(event.data))
                 body += event.data
                 if len(body) > self._limits.body_bytes:
                     raise RequestRefusedError(
@@ -204,6 +241,17 @@
             else:
                 return None
 
+    def _hold(self, size: int) -> None:
+        if self._budget is None:
+            return
+        if not self._budget.take(size):
+            raise RequestRefusedError(
+                self.peer,
+                503,
+                "this node holds as many bytes of bodies as it may; come back",
+            )
+        self._held += size
+
     def _check_size(self, head: h11.Request) -> None:
         """Refuses a header block over the limit that came in one piece.
 
