--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 PROJECTS := $(foreach p,$(PACKAGES),packages/sassafras-$(p)/pyproject.toml)
 
-.PHONY: demo test measure capacity lint format docs setup
+.PHONY: demo demo-shell test measure capacity lint format docs setup
 
 setup: $(STAMP)
 
@@ -21,6 +21,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m sassafras_standins.demo
 
+demo-shell: $(STAMP)
+	$(BIN)/python -m sassafras_standins.demo --keep
+
 test: $(STAMP)
 	$(BIN)/python -m pytest tests
 
--- a/packages/sassafras-standins/src/sassafras_standins/demo/__main__.py
+++ b/packages/sassafras-standins/src/sassafras_standins/demo/__main__.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 
 import trio
@@ -60,6 +61,30 @@
         self._keys: dict[str, str] = {}
         self._random = random.Random(_SEED)
 
+    async def keep(self) -> None:
+        """Starts and configures the fleet and keeps it until interrupted."""
+        try:
+            await self._start()
+            await self._configure()
+            node = self._places[0].admin_address
+            print(
+                f"\nflags: --node={node}"
+                f" --credential_file={self._fleet.credential_file}\n"
+                f"callers: {', '.join(self._addresses)}\n"
+                "keys: "
+                + ", ".join(f"{k} {v}" for k, v in self._keys.items())
+                + "\nInterrupt with Ctrl-C to end the fleet.",
+                flush=True,
+            )
+            with trio.open_signal_receiver(
+                signal.SIGINT, signal.SIGTERM
+            ) as signals:
+                async for _ in signals:
+                    return
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._fleet.close()
+
     async def run(self) -> None:
         """Runs all steps."""
         try:
@@ -224,6 +249,9 @@
 def main() -> int:
     """Runs the demonstration."""
     demo = Demo()
+    if "--keep" in sys.argv:
+        trio.run(demo.keep)
+        return 0
     trio.run(demo.run)
     failed = demo.checks.failed
     print(f"\n{'all claims held' if not failed else f'{failed} claims failed'}")
