Let the drain's progress be seen before its test ends the call

Cause: The test ended the call as soon as the target was leaving. On a busy machine that was before the command had asked for progress, so that the progress line with one call never came.

Change: The test waits until the command has shown the call.

Conclusion: The test is as strict as before and depends on no order of tasks.

--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -57,8 +57,8 @@
         return self.out + self.error_out
 
 
-async def sassafras(*argv):
-    out, error_out = io.StringIO(), io.StringIO()
+async def sassafras(*argv, out=None):
+    out, error_out = out or io.StringIO(), io.StringIO()
     code = await main.execute([str(a) for a in argv], out, error_out)
     return Outcome(code, out, error_out)
 
@@ -71,11 +71,12 @@
         self._file = site.folder / f"{credential}.credential"
         self._file.write_text(credential + "\n")
 
-    async def run(self, *argv):
+    async def run(self, *argv, out=None):
         return await sassafras(
             *argv,
             f"--node={self.site.address}",
             f"--credential_file={self._file}",
+            out=out,
         )
 
     def file(self, text, name="harbour.ini"):
@@ -339,19 +340,23 @@
         operator = await prepared(site)
         token = site.runtime.contexts.open(None)
         outcomes = []
+        out = io.StringIO()
 
         async def stop():
             outcomes.append(
-                await operator.run("targets-stop", TARGET, "--wait_s=30")
+                await operator.run(
+                    "targets-stop", TARGET, "--wait_s=30", out=out
+                )
             )
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stop)
 
-            async def leaving():
-                return site.runtime.table.own.target_state == "leaving"
+            async def shown():
+                return "leaving, 1 calls in flight" in out.getvalue()
 
-            await waiting.until(leaving, "the target is leaving")
+            # The call must not end before the command has seen it.
+            await waiting.until(shown, "the command shows the call")
             assert outcomes == []
             site.runtime.contexts.close(token)
         (outcome,) = outcomes
