--- a/packages/sassafras-node/src/sassafras_node/calls/deadlines.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/deadlines.py
@@ -15,11 +15,19 @@
     runtime: runtimes.Runtime,
     call: contexts.ActiveCall,
     serve: Callable[[], Awaitable[messages.Answer]],
+    grace_s: float = 0.0,
 ) -> messages.Answer:
-    """Returns what `serve` returns, or a deadline answer when it is late."""
+    """Returns what `serve` returns, or a deadline answer when it is late.
+
+    Args:
+      runtime: The node.
+      call: The call; nothing of it starts after its deadline.
+      serve: Serves the call.
+      grace_s: Time after the deadline in which a peer's verdict may arrive.
+    """
     remaining_s = call.context.deadline - runtime.clock.now()
     if remaining_s > 0:
-        with trio.move_on_after(remaining_s):
+        with trio.move_on_after(remaining_s + grace_s):
             return await serve()
     if call.progress.may_have_run:
         return messages.unknown(
--- a/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
@@ -2,10 +2,10 @@
 
 Children: `sessions` and `accept` (connections from peers), `readers` (call
 connections to peers), `rejoin` (tries nodes that are taken for dead), `traffic`
-(logs the bytes of control), `ring` (chooses the neighbours) and one
-`link:<node>` for each neighbour. A link that fails restarts alone with a
-back-off and never gives up, as an unreachable neighbour is no fault of this
-node.
+(logs the bytes of control), `recover` (takes idempotency records back after a
+planned restart), `ring` (chooses the neighbours) and one `link:<node>` for each
+neighbour. A link that fails restarts alone with a back-off and never gives up,
+as an unreachable neighbour is no fault of this node.
 """
 
 import functools
@@ -16,6 +16,7 @@
 
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handovers
 from sassafras_node.peers import link
 from sassafras_node.peers import rejoin
 from sassafras_node.peers import session
@@ -43,6 +44,11 @@
             supervision.Child(
                 "traffic", functools.partial(traffic.run, runtime)
             ),
+            supervision.Child(
+                "recover",
+                functools.partial(handovers.recover, runtime),
+                permanent=False,
+            ),
             supervision.Child(
                 "links",
                 functools.partial(_run_links, runtime, neighbour_links),
--- a/tests/contract/test_keys_stay_inside.py
+++ b/tests/contract/test_keys_stay_inside.py
@@ -4,6 +4,7 @@
 
 from common import nodes
 from common import waiting
+import h11
 import loguru
 import pytest
 from sassafras_node.peers import handlers
@@ -62,6 +63,15 @@
         await original(self, data)
 
     monkeypatch.setattr(trio.SocketStream, "send_all", record)
+    # A target's requests go to the socket itself, past the stream.
+    encode_http = h11.Connection.send
+
+    def record_http(connection, event):
+        data = encode_http(connection, event)
+        sent.extend(data or b"")
+        return data
+
+    monkeypatch.setattr(h11.Connection, "send", record_http)
     encode = codec.encode
 
     def record_frame(message):
