--- a/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -31,7 +31,7 @@
             if own.target_address
             else None,
             target_calls_in_flight=runtime.contexts.count,
-            target_load=runtime.target.admission.load,
+            target_load=runtime.target.gate.load,
             store_calls=runtime.store.calls,
             limits=tuple(
                 models.Limit(
--- a/packages/sassafras-node/src/sassafras_node/reports/metrics.py
+++ b/packages/sassafras-node/src/sassafras_node/reports/metrics.py
@@ -36,7 +36,17 @@
     gauge(
         "target_load",
         "Calls at the target as a part of its limit.",
-        target.admission.load,
+        target.gate.load,
+    )
+    gauge(
+        "target_limit",
+        "Calls that the target may run at once.",
+        target.gate.limit,
+    )
+    gauge(
+        "admission_level",
+        "Admission level; calls of this rank and above are refused.",
+        target.gate.level,
     )
     lines += [
         "# HELP sassafras_store_calls_total Calls to the store.",
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -7,14 +7,20 @@
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_base import supervision
+from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import homes
+from sassafras_policy.idempotency import records as idempotency_records
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
 from sassafras_policy.membership import roster_holder
 from sassafras_policy.membership import table as tables
+from sassafras_policy.retries import backoff
+from sassafras_policy.retries import guard
+from sassafras_policy.retries import policies as retry_policies
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import link as links
@@ -23,6 +29,7 @@
 import trio
 
 from sassafras_node.calls import contexts
+from sassafras_node.limits import gate as gates
 from sassafras_node.membership import neighbours
 from sassafras_node.membership import silence
 from sassafras_node.peers import outbox
@@ -75,11 +82,19 @@
       table: Membership; fed by peers, detector and the target's session.
       contexts: Call contexts of calls at the target beside the node.
       limiter: Rates of organisations.
+      gate: Admission by the limiter; fed by the exchange of tokens.
       balancer: Choice among targets.
+      retry_policy: Whether a failed call is tried again.
+      retry_guard: Retries of this node as a part of its first attempts.
+      backoff: Waits before a retry at the same target.
+      homes: Which node keeps the record of an idempotency key.
+      idempotency: Idempotency records kept by this node.
+      running_keys: Set when the first request of a key has ended.
       store: Client of the platform's key-value service.
       credentials: Identity and peer secret.
       drain: Work in flight and planned stop.
       target: The target beside the node; fed by the target's session.
+      heard_levels: Admission levels of services, learnt from answers.
       peer_views: Targets of other nodes as seen from here.
       peer_pools: Call connections to peers.
       neighbours: Chooses the neighbours that get heartbeats.
@@ -114,8 +129,19 @@
         self.table = tables.Table(own)
         self.contexts = contexts.ContextTable()
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
+        self.gate = gates.Gate(self.limiter, clock)
         factory = balancers.balancers.get(settings.policy.balancer)
         self.balancer = factory(rng)  # type: ignore[call-arg]
+        self.retry_policy = retry_policies.retry_policies.get(
+            settings.policy.retries
+        )()
+        self.retry_guard = guard.RetryGuard()
+        self.backoff = backoff.Backoff(rng)
+        self.homes = homes.Homes(
+            own.node_id, own.incarnation, clock.now_with_suspend()
+        )
+        self.idempotency = idempotency_records.Records()
+        self.running_keys: dict[str, trio.Event] = {}
         self.store = store_client.StoreClient(settings.store)
         self.credentials = links.Credentials(
             identity=authentication.Identity(
@@ -134,7 +160,8 @@
             idle_timeout_s=http.idle_timeout_s,
         )
         self.target = beside.TargetBeside(settings, clock)
-        self.peer_views = views.PeerViews()
+        self.heard_levels = levels.HeardLevels()
+        self.peer_views = views.PeerViews(clock)
         self.peer_pools = peer_pool.PeerPools(
             self.credentials, settings.peers.connections_per_peer
         )
@@ -149,6 +176,7 @@
         self.watch_wanted = trio.Event()
         self.watch_unwanted = trio.Event()
         self.watch_unwanted.set()
+        self._situation: limiters.Situation | None = None
         self.table.subscribe(self._on_member)
         self.configuration.subscribe(self._on_configuration)
         self.roster.subscribe(self._on_roster)
@@ -176,15 +204,24 @@
         self._wake()
 
     def _on_roster(self, roster: rosters.Roster) -> None:
-        del roster
+        self.homes.adopt(roster, self.clock.now_with_suspend())
         self._configure_limiter()
         self._wake()
 
     def _configure_limiter(self) -> None:
         index = self.configuration.index
-        if index is not None:
-            hosts = len(self.table.peers) + 1
-            self.limiter.configure(index.document.organisations, hosts)
+        if index is None:
+            return
+        situation = limiters.Situation(
+            organisations=index.document.organisations,
+            own_id=self.table.own_id,
+            hosts=len(self.table.peers) + 1,
+            roster=self.roster.current,
+            settled=self.roster.is_settled(self.table.all),
+        )
+        if situation != self._situation:
+            self._situation = situation
+            self.limiter.configure(situation, self.clock.now_with_suspend())
 
     def _wake(self) -> None:
         """Wakes the tasks that pass changes on to neighbours."""
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -8,6 +8,7 @@
 from sassafras_policy.admission import policies
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
+from sassafras_policy.retries import policies as retry_policies
 
 
 def _check_address(value: str) -> str:
@@ -121,9 +122,12 @@
 
     balancer: Annotated[str, _registered(balancers.balancers)] = "power-of-two"
     admission: Annotated[str, _registered(policies.admission_policies)] = (
-        "slots"
+        "adaptive"
+    )
+    limiter: Annotated[str, _registered(limiters.limiters)] = "token-escrow"
+    retries: Annotated[str, _registered(retry_policies.retry_policies)] = (
+        "budgeted"
     )
-    limiter: Annotated[str, _registered(limiters.limiters)] = "static-share"
 
 
 class AdminSection(Section):
--- a/tests/contract/test_golden_sessions.py
+++ b/tests/contract/test_golden_sessions.py
@@ -11,6 +11,7 @@
 from sassafras_node.peers import handlers
 from sassafras_node.store import keys
 from sassafras_node.store import writer
+from sassafras_policy.membership import roster as rosters
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
@@ -126,6 +127,9 @@
             await beside.send_all(request)
             announcing += _show(">", request)
             announcing += _show("<", await _read_message(beside))
+        host.runtime.roster.offer(
+            rosters.Roster(1, (rosters.Member(host.node_id, "desk"),))
+        )
         # The share of a node that has just started is empty at first.
         bank = caller.Caller(
             [host.settings.host.caller_address], samples.NATIONAL_KEY
