Keep limits and levels steady under eager retries

Five faults showed at 5x with retries. An error that stemmed from another service counted as a lost call when it was slow, and lowered the limits of the targets above an overloaded one down to 2. Steps of one bucket were a seventh of the capacity, so the level swung. The margin of sub-calls was larger than the level itself. A level at the start of a class refused all its calls, also those that would show that the service is well.

Calls answered with an error leave the limit alone. The level moves in parts of a bucket, in proportion to what it admits, and so does the margin. A level is rounded up. Views of nodes that are gone for long are dropped.

--- a/packages/sassafras-node/src/sassafras_node/calls/contexts.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/contexts.py
@@ -56,12 +56,12 @@
         """Notes the gate through which the call went to the target."""
         self._gate = gate
 
-    def leave(self, started: float, success: bool, now: float) -> None:
+    def leave(self, started: float, status: int, now: float) -> None:
         """Gives the place at the gate back.
 
         Args:
           started: When the call went to the target.
-          success: Whether the target answered without an error.
+          status: HTTP status of the target's answer; 0 when none came.
           now: The current time.
         """
         gate, self._gate = self._gate, None
@@ -69,7 +69,11 @@
             return
         if self._open:
             gate.resume()
-        gate.leave(now - started - self.sub_call_s(now), success)
+        if status >= 500:
+            gate.leave_with_error()
+        else:
+            own_s = now - started - self.sub_call_s(now)
+            gate.leave(own_s, success=status != 0)
 
     def begin(self, now: float) -> None:
         """Notes that a sub-call begins."""
--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -73,12 +73,12 @@
     started = runtime.clock.now()
     call.trace.entered(gate)
     token = runtime.contexts.open(call)
-    success = False
+    status = 0
     try:
         response = await runtime.target.pool.exchange(
             _target_request(runtime, request, call, token), call.progress
         )
-        success = response.status < 500
+        status = response.status
     except errors.UnreachableError as error:
         return messages.refusal(
             outcomes.Reason.UNREACHABLE,
@@ -97,7 +97,7 @@
         )
     finally:
         runtime.contexts.close(token)
-        call.trace.leave(started, success, runtime.clock.now())
+        call.trace.leave(started, status, runtime.clock.now())
     return messages.Answer(
         outcome=outcomes.Outcome.RAN,
         status=response.status,
--- a/packages/sassafras-node/src/sassafras_node/calls/shedding.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/shedding.py
@@ -48,10 +48,11 @@
     if found is None:
         return None
     service, level = found
+    # The refusal carries no level: nodes that passed on what they had heard
+    # kept each other's levels raised, and no call reached the service again.
     return messages.refusal(
         outcomes.Reason.OVERLOAD,
         503,
         f"service {service} is overloaded",
         retry_after_ms=levels.retry_after_ms(call.context.rank, level),
-        levels=((service, level),),
     )
--- a/packages/sassafras-node/src/sassafras_node/peers/views.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/views.py
@@ -88,6 +88,10 @@
             ejected=target.is_ejected(now),
         )
 
+    def drop(self, node_id: str) -> None:
+        """Forgets a target whose node has been gone for long."""
+        self._views.pop(node_id, None)
+
     def _note_failure(self, node_id: str, at_once: bool) -> None:
         target = self._view(node_id).health
         if target.failed(self._clock.now(), at_once):
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -106,11 +106,20 @@
 
         Args:
           latency_s: Time at the target, without its calls to other services.
-          success: Whether the target answered without an error.
+          success: Whether the target answered.
         """
         self._policy.finished(latency_s, success, self._clock.now())
         self._release()
 
+    def leave_with_error(self) -> None:
+        """Gives back the place of a call that was answered with an error.
+
+        Errors may skip work, so their latency would mislead the limit. Most
+        of them stem from another service when that one is overloaded.
+        """
+        self._policy.unused()
+        self._release()
+
     async def _wait(self, ticket: queueing.Ticket) -> Verdict:
         waiter = _Waiter(trio.Event())
         self._waiters[ticket] = waiter
--- a/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
@@ -70,14 +70,15 @@
         Args:
           latency_s: Time at the target, without the time that it spent in
             calls to other services.
-          success: Whether the target answered without an error.
+          success: Whether the target answered; a call that it answered with
+            an error is not reported at all.
           in_flight: Calls that were running, this one included.
           now: The current time.
         """
         if now < self._window_from:
             return
         if not success and not self._is_slow(latency_s):
-            # A quick error says nothing about how long a call takes.
+            # A lost connection says nothing about how long a call takes.
             return
         self._samples += 1
         self._losses += not success
--- a/packages/sassafras-policy/src/sassafras_policy/admission/levels.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/levels.py
@@ -20,18 +20,24 @@
 _WAIT_LOW_S = 0.04
 # The effect of a change is seen only after the calls on their way have ended,
 # so each window corrects a part of the excess.
-_SHED_PER_DROP = 0.25
+_SHED_PER_DROP = 0.2
 _SMALLEST_SHED = 0.02
-_LARGEST_SHED = 0.15
+_LARGEST_SHED = 0.25
 _HISTORY_KEPT = 0.9
-_FIRST_STEP = 1
-_LARGEST_STEP = 64
+# First step of an opening level, as a part of the buckets that it admits of
+# its class. Under 17-fold load, as with eager retries, seven buckets are the
+# whole capacity, and steps of one bucket made the level swing.
+_FIRST_STEP_SHARE = 0.02
+_SMALLEST_STEP = 0.1
+_LARGEST_FIRST_STEP = 1.0
+_LARGEST_STEP = 64.0
 # Some call must always pass, or a service could not show that it is well.
 _LOWEST_LEVEL = 1.0
 
 # A root request that was admitted is not refused further on for a small
-# change of the level, as the work done for it would be lost.
-_SUB_CALL_MARGIN = 8
+# change of the level, as the work done for it would be lost. The margin is a
+# part of the buckets that the level admits of its class.
+_SUB_CALL_MARGIN = 0.125
 
 _HEARD_SPAN_S = 0.2
 _SMALLEST_HEARD_WEIGHT = 0.1
@@ -41,8 +47,15 @@
 
 def refuses(level: float, context: messages.CallContext) -> bool:
     """Returns whether a level refuses a call."""
-    margin = _SUB_CALL_MARGIN if context.depth else 0
-    return context.rank >= level + margin
+    if context.depth:
+        level += _SUB_CALL_MARGIN * _admitted_buckets(level)
+    return context.rank >= level
+
+
+def _admitted_buckets(level: float) -> float:
+    """Returns how many buckets of its class a level admits."""
+    buckets = level % messages.BUCKET_COUNT
+    return buckets or float(messages.BUCKET_COUNT)
 
 
 def open_level(class_count: int) -> int:
@@ -58,7 +71,7 @@
         self._level = self._open
         self._arrivals = [0.0] * int(self._open)
         self._window_from = 0.0
-        self._step = _FIRST_STEP
+        self._step = 0.0
         self._calls = 0
         self._drops = 0
         self._wait_sum_s = 0.0
@@ -72,7 +85,7 @@
     def value(self, now: float) -> int:
         """Returns the level now; it opens by itself when no calls come."""
         self._advance(now)
-        return int(self._level)
+        return math.ceil(self._level)
 
     def arrived(self, rank: int, now: float) -> None:
         """Counts a call, before it is decided on."""
@@ -117,16 +130,27 @@
 
     def _tighten(self, share: float) -> None:
         """Refuses the least important `share` of the calls admitted so far."""
-        self._step = _FIRST_STEP
-        admitted = sum(self._arrivals[: int(self._level)])
+        self._step = 0.0
+        admitted = sum(self._arrivals[: math.ceil(self._level)])
         to_shed = admitted * share
         while to_shed > 0.0 and self._level > _LOWEST_LEVEL:
-            self._level -= 1.0
-            to_shed -= self._arrivals[int(self._level)]
+            bucket = math.ceil(self._level) - 1
+            part = self._level - bucket
+            calls = self._arrivals[bucket] * part
+            if calls > to_shed:
+                self._level -= part * to_shed / calls
+                return
+            self._level = float(bucket)
+            to_shed -= calls
+
+    def _first_step(self) -> float:
+        step = _admitted_buckets(self._level) * _FIRST_STEP_SHARE
+        return min(_LARGEST_FIRST_STEP, max(_SMALLEST_STEP, step))
 
     def _loosen(self, span_s: float) -> None:
+        if self._was_full or not self._step:
+            self._step = self._first_step()
         if self._was_full:
-            self._step = _FIRST_STEP
             self._level = min(self._open, self._level + self._step)
             return
         # While every call finds room the steps double, so that the level is
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -83,11 +83,20 @@
         ...
 
     def finished(self, latency_s: float, success: bool, now: float) -> None:
-        """Gives back the place of a call that ended at the target."""
+        """Gives back the place of a call; the limit learns from its latency.
+
+        Args:
+          latency_s: Time at the target, without its calls to other services.
+          success: Whether the target answered, and without an error.
+          now: The current time.
+        """
         ...
 
     def unused(self) -> None:
-        """Gives back the place of a call that never went to the target."""
+        """Gives back the place of a call whose latency says nothing.
+
+        It never went to the target, or the target answered with an error.
+        """
         ...
 
     def release(self, now: float) -> Release:
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -112,7 +112,6 @@
     *,
     retry_after_ms: int = 0,
     retryable: bool = False,
-    levels: tuple[tuple[str, int], ...] = (),
 ) -> Answer:
     """Returns an answer that says the request did not run."""
     return Answer(
@@ -122,7 +121,6 @@
         headers=(("content-type", "text/plain; charset=utf-8"),),
         body=f"not run: {detail}\n".encode(),
         retry_after_ms=retry_after_ms,
-        levels=levels,
         retryable=retryable,
     )
 
