--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -11,6 +11,7 @@
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
 from sassafras_policy.configuration import indexes
+from sassafras_policy.idempotency import custody
 from sassafras_policy.idempotency import homes
 from sassafras_policy.idempotency import records as idempotency_records
 from sassafras_policy.limits import limiters
@@ -89,6 +90,7 @@
       backoff: Waits before a retry at the same target.
       homes: Which node keeps the record of an idempotency key.
       idempotency: Idempotency records kept by this node.
+      custody: Idempotency records of peers that are being restarted.
       running_keys: Set when the first request of a key has ended.
       store: Client of the platform's key-value service.
       credentials: Identity and peer secret.
@@ -106,6 +108,7 @@
       watch_wanted: Set while this node is its availability zone's watcher.
       watch_unwanted: Set while it is not.
       http_limits: Bounds on requests.
+      body_budget: Bytes of request bodies held by all connections.
     """
 
     def __init__(
@@ -141,6 +144,7 @@
             own.node_id, own.incarnation, clock.now_with_suspend()
         )
         self.idempotency = idempotency_records.Records()
+        self.custody = custody.Custody()
         self.running_keys: dict[str, trio.Event] = {}
         self.store = store_client.StoreClient(settings.store)
         self.credentials = links.Credentials(
@@ -153,6 +157,7 @@
         idle.set()
         self.drain = Drain(trio.Event(), 0, idle)
         http = settings.http
+        self.body_budget = http_server.BodyBudget(http.buffered_bytes)
         self.http_limits = http_server.ServerLimits(
             header_bytes=http.header_bytes,
             body_bytes=http.body_bytes,
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -36,6 +36,30 @@
         super().__init__(_STEP, peer, problem, "correct the request")
 
 
+class BodyBudget:
+    """Bytes of request bodies that all connections may hold together."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Bytes held now."""
+        return self._held
+
+    def take(self, size: int) -> bool:
+        """Takes bytes if the limit allows it; returns whether it did."""
+        if self._held + size > self._limit:
+            return False
+        self._held += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Gives bytes back."""
+        self._held -= size
+
+
 class ServerConnection:
     """Reads requests from a stream and writes their answers, in order.
 
@@ -47,16 +71,24 @@
     """
 
     def __init__(
-        self, stream: trio.abc.Stream, peer: str, limits: ServerLimits
+        self,
+        stream: trio.abc.Stream,
+        peer: str,
+        limits: ServerLimits,
+        budget: BodyBudget | None = None,
     ) -> None:
         self.peer = peer
         self._stream = stream
         self._limits = limits
+        self._budget = budget
+        self._held = 0
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._received = bytearray()
         self._at_end = False
+        # The answer to HEAD carries the length of a body and not the body.
+        self._head_only = False
         self._arrived = trio.lowlevel.ParkingLot()
         self._consumed = trio.lowlevel.ParkingLot()
         self._serving: trio.CancelScope | None = None
@@ -149,11 +181,17 @@
             headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
         )
         data = self._connection.send(head) or b""
-        if answer.body:
+        if answer.body and not self._head_only:
             data += self._connection.send(h11.Data(data=answer.body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         await self._stream.send_all(data)
 
+    def release_body(self) -> None:
+        """Gives back the bytes of the body of the request that has ended."""
+        if self._budget is not None:
+            self._budget.give_back(self._held)
+        self._held = 0
+
     async def close(self) -> None:
         """Closes the stream at once."""
         await trio.aclose_forcefully(self._stream)
@@ -175,8 +213,11 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
+                # After the colon the parser quotes what it read, which may
+                # hold a key.
+                problem = str(error).split(":", 1)[0]
                 raise RequestRefusedError(
-                    self.peer, error.error_status_hint, str(error)
+                    self.peer, error.error_status_hint, problem
                 ) from None
             if event is h11.NEED_DATA:
                 if self._connection.they_are_waiting_for_100_continue:
@@ -184,7 +225,10 @@
                 await self._read()
             elif isinstance(event, h11.Request):
                 head = event
+                self._head_only = event.method == b"HEAD"
+                self._check_size(event)
             elif isinstance(event, h11.Data):
+                self._hold(len(event.data))
                 body += event.data
                 if len(body) > self._limits.body_bytes:
                     raise RequestRefusedError(
@@ -197,6 +241,33 @@
             else:
                 return None
 
+    def _hold(self, size: int) -> None:
+        if self._budget is None:
+            return
+        if not self._budget.take(size):
+            raise RequestRefusedError(
+                self.peer,
+                503,
+                "this node holds as many bytes of bodies as it may; come back",
+            )
+        self._held += size
+
+    def _check_size(self, head: h11.Request) -> None:
+        """Refuses a header block over the limit that came in one piece.
+
+        The parser's own limit covers only blocks that are still incomplete.
+        """
+        size = len(head.target) + sum(
+            len(name) + len(value) + len(": \r\n")
+            for name, value in head.headers
+        )
+        if size > self._limits.header_bytes:
+            raise RequestRefusedError(
+                self.peer,
+                431,
+                f"the header block is over {self._limits.header_bytes} bytes",
+            )
+
     async def _send_continue(self) -> None:
         go_on = h11.InformationalResponse(status_code=100, headers=[])
         await self._stream.send_all(self._connection.send(go_on) or b"")
