Call at most 20 targets of a large service from one node

Cause: the design bounds the connections of a node by a subset of each service, which was not built. Change: a subset by rendezvous hashing once a service has more than 20 targets.

--- a/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
@@ -3,7 +3,15 @@
 import dataclasses
 import functools
 
+import trio
+
 from sassafras_base import errors
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+from sassafras_node.calls import deadlines
+from sassafras_node.calls import idempotent
+from sassafras_node.calls import local
+from sassafras_policy.balancing import subsets
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.membership import records
@@ -12,13 +20,6 @@
 from sassafras_wire.http import fields
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
-import trio
-
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import contexts
-from sassafras_node.calls import deadlines
-from sassafras_node.calls import idempotent
-from sassafras_node.calls import local
 
 _RETRY_AFTER_MS = 1000
 
@@ -174,7 +175,9 @@
 ) -> records.NodeRecord | None:
     serving = [
         record
-        for record in runtime.table.serving(service)
+        for record in subsets.choose(
+            runtime.table.own_id, runtime.table.serving(service)
+        )
         if record.node_id not in tried
     ]
     own = runtime.table.own
