--- a/packages/sassafras-cli/src/sassafras_cli/client.py
+++ b/packages/sassafras-cli/src/sassafras_cli/client.py
@@ -6,13 +6,13 @@
 
 import pydantic
 import result
+import trio
+
 from sassafras_base import errors
+from sassafras_cli import exit_codes
 from sassafras_policy.calls import messages
 from sassafras_wire.administration import models
 from sassafras_wire.http import client as http_client
-import trio
-
-from sassafras_cli import exit_codes
 
 _BODY_LIMIT = 4 * 1024 * 1024
 _CONNECT_TIMEOUT_S = 5.0
--- a/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
@@ -3,7 +3,6 @@
 import json
 
 import result
-from sassafras_wire.administration import models
 
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
@@ -11,6 +10,7 @@
 from sassafras_cli import tables
 from sassafras_cli.commands import contents
 from sassafras_cli.commands import requests
+from sassafras_wire.administration import models
 
 
 class CheckAnswer(models.Answer):
--- a/packages/sassafras-cli/src/sassafras_cli/commands/contents.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/contents.py
@@ -5,12 +5,12 @@
 import pathlib
 
 import result
-from sassafras_wire.administration import models
-from sassafras_wire.configuration import models as configuration_models
-from sassafras_wire.questionnaire import reading
 
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
+from sassafras_wire.administration import models
+from sassafras_wire.configuration import models as configuration_models
+from sassafras_wire.questionnaire import reading
 
 _DOCUMENT_SUFFIX = ".json"
 _STEP = "cli.read"
--- a/packages/sassafras-cli/src/sassafras_cli/commands/keys.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/keys.py
@@ -1,7 +1,6 @@
 """Commands for callers' keys."""
 
 import result
-from sassafras_wire.administration import models
 
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
@@ -9,6 +8,7 @@
 from sassafras_cli import tables
 from sassafras_cli.commands import configuration
 from sassafras_cli.commands import requests
+from sassafras_wire.administration import models
 
 
 @registry.command(
--- a/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
@@ -1,12 +1,12 @@
 """Commands for nodes."""
 
 import result
-from sassafras_wire.administration import models
 
 from sassafras_cli import exit_codes
 from sassafras_cli import registry
 from sassafras_cli import tables
 from sassafras_cli.commands import requests
+from sassafras_wire.administration import models
 
 
 @registry.command(
--- a/packages/sassafras-cli/src/sassafras_cli/commands/report.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/report.py
@@ -1,10 +1,10 @@
 """The command that prints the burn report."""
 
 import result
-from sassafras_wire.administration import models
 
 from sassafras_cli import exit_codes
 from sassafras_cli import registry
+from sassafras_wire.administration import models
 
 
 @registry.command(
--- a/packages/sassafras-cli/src/sassafras_cli/commands/requests.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/requests.py
@@ -4,10 +4,10 @@
 
 import pydantic
 import result
-from sassafras_wire.administration import models
 
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
+from sassafras_wire.administration import models
 
 R = TypeVar("R", bound=models.Request)
 
--- a/packages/sassafras-cli/src/sassafras_cli/commands/status.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/status.py
@@ -1,11 +1,11 @@
 """Commands that show a node's state and the audit records."""
 
 import result
-from sassafras_wire.administration import models
 
 from sassafras_cli import exit_codes
 from sassafras_cli import registry
 from sassafras_cli import tables
+from sassafras_wire.administration import models
 
 
 @registry.command(
--- a/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
@@ -1,7 +1,6 @@
 """Commands for targets."""
 
 import result
-from sassafras_wire.administration import models
 import trio
 
 from sassafras_cli import exit_codes
@@ -9,6 +8,7 @@
 from sassafras_cli import tables
 from sassafras_cli.commands import configuration
 from sassafras_cli.commands import requests
+from sassafras_wire.administration import models
 
 _POLL_S = 0.5
 
--- a/packages/sassafras-cli/src/sassafras_cli/registry.py
+++ b/packages/sassafras-cli/src/sassafras_cli/registry.py
@@ -6,12 +6,11 @@
 from typing import TextIO
 
 from sassafras_base import registry
-from sassafras_wire.administration import models
-
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
 from sassafras_cli import options
 from sassafras_cli import tables
+from sassafras_wire.administration import models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-node/src/sassafras_node/admin/access.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/access.py
@@ -1,13 +1,13 @@
 """Who an operator is and what the operator may do."""
 
 import result
+
 from sassafras_base import hashing
+from sassafras_node.admin import replies
 from sassafras_policy.calls import messages
 from sassafras_wire.http import fields
 from sassafras_wire.settings import operators
 
-from sassafras_node.admin import replies
-
 _STEP = "admin.access"
 
 
--- a/packages/sassafras-node/src/sassafras_node/admin/changes.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/changes.py
@@ -4,19 +4,19 @@
 import dataclasses
 
 import result
-from sassafras_base import events
-from sassafras_policy.configuration import differences
-from sassafras_policy.configuration import document as documents
-from sassafras_wire.administration import models
-from sassafras_wire.store import client as store_client
-from sassafras_wire.store import configuration_writer
 import trio
 
+from sassafras_base import events
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import replies
 from sassafras_node.store import audit
 from sassafras_node.store import history
 from sassafras_node.store import writer
+from sassafras_policy.configuration import differences
+from sassafras_policy.configuration import document as documents
+from sassafras_wire.administration import models
+from sassafras_wire.store import client as store_client
+from sassafras_wire.store import configuration_writer
 
 # A change that names no revision, such as a new key, is made again from the
 # newer revision when another one was first.
--- a/packages/sassafras-node/src/sassafras_node/admin/peer_status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/peer_status.py
@@ -6,13 +6,13 @@
 
 from collections.abc import Iterable
 
-from sassafras_base import errors
-from sassafras_wire.peer import link as links
-from sassafras_wire.peer import models
 import trio
 
+from sassafras_base import errors
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
 
 # Bounds the links that one request of an operator opens at a time.
 _ASKED_AT_ONCE = 16
--- a/packages/sassafras-node/src/sassafras_node/admin/replies.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/replies.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import result
+
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import differences
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/audit.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/audit.py
@@ -1,13 +1,13 @@
 """The audit records."""
 
 import result
-from sassafras_wire.administration import models
-from sassafras_wire.settings import operators
-from sassafras_wire.store import client as store_client
 
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
 from sassafras_node.store import audit
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
+from sassafras_wire.store import client as store_client
 
 
 @routing.route("GET", "/audit", operators.Role.READ, models.AuditQuery)
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/configuration.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/configuration.py
@@ -3,6 +3,11 @@
 import dataclasses
 
 import result
+
+from sassafras_node.admin import changes
+from sassafras_node.admin import replies
+from sassafras_node.admin import routing
+from sassafras_node.store import history
 from sassafras_policy.configuration import differences
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import edits
@@ -14,11 +19,6 @@
 from sassafras_wire.questionnaire import reading
 from sassafras_wire.settings import operators
 
-from sassafras_node.admin import changes
-from sassafras_node.admin import replies
-from sassafras_node.admin import routing
-from sassafras_node.store import history
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Posted:
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/health.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/health.py
@@ -1,10 +1,10 @@
 """Whether the node runs."""
 
 import result
-from sassafras_wire.administration import models
 
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
+from sassafras_wire.administration import models
 
 
 @routing.route("GET", "/health", None)
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/keys.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/keys.py
@@ -3,16 +3,16 @@
 import secrets
 
 import result
+
 from sassafras_base import hashing
+from sassafras_node.admin import changes
+from sassafras_node.admin import replies
+from sassafras_node.admin import routing
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import edits
 from sassafras_wire.administration import models
 from sassafras_wire.settings import operators
 
-from sassafras_node.admin import changes
-from sassafras_node.admin import replies
-from sassafras_node.admin import routing
-
 _KEY_BYTES = 32
 
 
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/nodes.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/nodes.py
@@ -1,11 +1,6 @@
 """Nodes: list, forget."""
 
 import result
-from sassafras_policy.membership import records
-from sassafras_wire.administration import models
-from sassafras_wire.peer import models as peer_models
-from sassafras_wire.settings import operators
-from sassafras_wire.store import client as store_client
 import trio
 
 from sassafras_node.admin import changes
@@ -14,6 +9,11 @@
 from sassafras_node.admin import routing
 from sassafras_node.membership import roster
 from sassafras_node.store import audit
+from sassafras_policy.membership import records
+from sassafras_wire.administration import models
+from sassafras_wire.peer import models as peer_models
+from sassafras_wire.settings import operators
+from sassafras_wire.store import client as store_client
 
 _ACTION = "nodes-forget"
 
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/reports.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/reports.py
@@ -1,14 +1,14 @@
 """The burn report of the fleet and the metrics of the node."""
 
 import result
-from sassafras_wire.administration import models
-from sassafras_wire.settings import operators
 
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
 from sassafras_node.reports import fleet
 from sassafras_node.reports import metrics
 from sassafras_node.reports import renderers
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
 
 
 @routing.route("GET", "/report", operators.Role.READ, models.ReportQuery)
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -1,15 +1,15 @@
 """The state of the node that answers."""
 
 import result
-from sassafras_policy.admission import levels
-from sassafras_policy.calls import outcomes
-from sassafras_wire.administration import models
-from sassafras_wire.settings import operators
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
 from sassafras_node.admin.routes import targets
+from sassafras_policy.admission import levels
+from sassafras_policy.calls import outcomes
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
 
 
 @routing.route("GET", "/status", operators.Role.READ)
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/targets.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/targets.py
@@ -3,17 +3,17 @@
 from collections.abc import Callable
 
 import result
-from sassafras_policy.configuration import document as documents
-from sassafras_policy.configuration import edits
-from sassafras_policy.membership import records
-from sassafras_wire.administration import models
-from sassafras_wire.settings import operators
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import changes
 from sassafras_node.admin import peer_status
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
+from sassafras_policy.configuration import document as documents
+from sassafras_policy.configuration import edits
+from sassafras_policy.membership import records
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
 
 _GONE = "gone"
 _UNREACHABLE = "unreachable"
--- a/packages/sassafras-node/src/sassafras_node/admin/routing.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routing.py
@@ -5,12 +5,12 @@
 import dataclasses
 
 import result
-from sassafras_base import registry
-from sassafras_wire.administration import models
-from sassafras_wire.settings import operators
 
+from sassafras_base import registry
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import replies
+from sassafras_wire.administration import models
+from sassafras_wire.settings import operators
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-node/src/sassafras_node/admin/session.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/session.py
@@ -6,18 +6,18 @@
 
 import pydantic
 import result
-from sassafras_base import events
-from sassafras_policy.calls import messages
-from sassafras_wire.administration import models
-from sassafras_wire.http import server as http_server
-from sassafras_wire.settings import operators
 import trio
 
+from sassafras_base import events
 from sassafras_node import http_session
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import access
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
+from sassafras_policy.calls import messages
+from sassafras_wire.administration import models
+from sassafras_wire.http import server as http_server
+from sassafras_wire.settings import operators
 
 
 @events.declare(601, "WARNING")
--- a/packages/sassafras-node/src/sassafras_node/admin/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/supervisor.py
@@ -7,8 +7,6 @@
 import functools
 
 from sassafras_base import supervision
-from sassafras_wire.settings import operators
-
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import peer_status
@@ -21,6 +19,7 @@
 from sassafras_node.admin.routes import reports
 from sassafras_node.admin.routes import status
 from sassafras_node.admin.routes import targets
+from sassafras_wire.settings import operators
 
 # Importing these modules registers their routes and message handlers.
 ROUTE_MODULES = (
--- a/packages/sassafras-node/src/sassafras_node/callers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/callers/session.py
@@ -1,13 +1,13 @@
 """The life of one connection from a caller."""
 
-from sassafras_policy.calls import messages
-from sassafras_wire.http import fields
 import trio
 
 from sassafras_node import http_session
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import entry
 from sassafras_node.reports import recorder
+from sassafras_policy.calls import messages
+from sassafras_wire.http import fields
 
 
 async def serve(
--- a/packages/sassafras-node/src/sassafras_node/callers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/callers/supervisor.py
@@ -7,7 +7,6 @@
 import functools
 
 from sassafras_base import supervision
-
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
 from sassafras_node.callers import session
--- a/packages/sassafras-node/src/sassafras_node/calls/contexts.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/contexts.py
@@ -4,14 +4,13 @@
 import secrets
 from typing import Protocol
 
+from sassafras_node.targets import gate as gates
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
 from sassafras_policy.retries import allowance
 from sassafras_policy.retries import repeats
 
-from sassafras_node.targets import gate as gates
-
 _TOKEN_BYTES = 18
 
 
--- a/packages/sassafras-node/src/sassafras_node/calls/deadlines.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/deadlines.py
@@ -3,12 +3,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from sassafras_policy.calls import messages
-from sassafras_policy.calls import outcomes
 import trio
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
 
 
 async def bounded(
--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -4,17 +4,16 @@
 import secrets
 
 from sassafras_base import hashing
-from sassafras_policy.calls import messages
-from sassafras_policy.calls import outcomes
-from sassafras_policy.configuration import indexes
-from sassafras_policy.retries import allowance
-from sassafras_wire.http import fields
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import idempotent
 from sassafras_node.calls import retrying
 from sassafras_node.calls import shedding
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.configuration import indexes
+from sassafras_policy.retries import allowance
+from sassafras_wire.http import fields
 
 _RETRY_AFTER_MS = 1000
 
--- a/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
@@ -4,7 +4,13 @@
 import enum
 import functools
 
+import trio
+
 from sassafras_base import errors
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+from sassafras_node.calls import deadlines
+from sassafras_node.calls import local
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import indexes
@@ -13,12 +19,6 @@
 from sassafras_wire.http import fields
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
-import trio
-
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import contexts
-from sassafras_node.calls import deadlines
-from sassafras_node.calls import local
 
 _RETRY_AFTER_MS = 1000
 _MAXIMUM_KEY_LENGTH = 255
--- a/packages/sassafras-node/src/sassafras_node/calls/inbound.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/inbound.py
@@ -2,14 +2,13 @@
 
 import functools
 
-from sassafras_policy.calls import messages
-from sassafras_wire.peer import models
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import deadlines
 from sassafras_node.calls import idempotent
 from sassafras_node.calls import local
+from sassafras_policy.calls import messages
+from sassafras_wire.peer import models
 
 
 async def handle_peer_call(
--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -4,15 +4,14 @@
 import functools
 
 from sassafras_base import errors
-from sassafras_policy.admission import levels
-from sassafras_policy.calls import messages
-from sassafras_policy.calls import outcomes
-from sassafras_wire.http import fields
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import deadlines
 from sassafras_node.targets import gate as gates
+from sassafras_policy.admission import levels
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_wire.http import fields
 
 _RETRY_AFTER_MS = 1000
 
--- a/packages/sassafras-node/src/sassafras_node/calls/retrying.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/retrying.py
@@ -1,16 +1,15 @@
 """Permission for retries, and sub-calls that a target repeats itself."""
 
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import contexts
+from sassafras_node.calls import dispatch
+from sassafras_node.calls import shedding
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.retries import failures
 from sassafras_policy.retries import policies
 from sassafras_policy.retries import repeats
 
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import contexts
-from sassafras_node.calls import dispatch
-from sassafras_node.calls import shedding
-
 _RETRY_AFTER_MS = 1000
 
 
--- a/packages/sassafras-node/src/sassafras_node/calls/shedding.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/shedding.py
@@ -1,12 +1,11 @@
 """Refuses calls that a service further on would refuse anyway."""
 
-from sassafras_policy.admission import levels
-from sassafras_policy.calls import messages
-from sassafras_policy.calls import outcomes
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import contexts
 from sassafras_node.calls import dispatch
+from sassafras_policy.admission import levels
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
 
 
 async def serve(
--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -3,12 +3,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from sassafras_policy.calls import messages
-from sassafras_policy.calls import outcomes
-from sassafras_wire.http import server as http_server
 import trio
 
 from sassafras_node import runtime as runtimes
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_wire.http import server as http_server
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
 _REASONS = {
--- a/packages/sassafras-node/src/sassafras_node/limits/exchange.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/exchange.py
@@ -1,12 +1,12 @@
 """The exchange of tokens with one holder."""
 
+import trio
+
+from sassafras_node import runtime as runtimes
 from sassafras_policy.limits import exchanges
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
-
-from sassafras_node import runtime as runtimes
 
 # An ask that waited longer than a request waits for tokens is pointless.
 _STALE_AFTER_S = 0.05
--- a/packages/sassafras-node/src/sassafras_node/limits/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/gate.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_policy.limits import exchanges
 from sassafras_policy.limits import limiters
-import trio
 
 # Long enough for an answer of a holder in another availability zone, short
 # enough that a refused caller is told soon.
--- a/packages/sassafras-node/src/sassafras_node/limits/handler.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/handler.py
@@ -1,12 +1,11 @@
 """Answers other nodes' asks for tokens."""
 
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
 
-from sassafras_node import runtime as runtimes
-from sassafras_node.peers import handlers
-
 
 @handlers.message_handlers.register("token_ask")
 async def handle_token_ask(
--- a/packages/sassafras-node/src/sassafras_node/limits/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/supervisor.py
@@ -7,9 +7,9 @@
 
 import functools
 
-from sassafras_base import supervision
 import trio
 
+from sassafras_base import supervision
 from sassafras_node import runtime as runtimes
 from sassafras_node.limits import exchange
 
--- a/packages/sassafras-node/src/sassafras_node/listening.py
+++ b/packages/sassafras-node/src/sassafras_node/listening.py
@@ -3,9 +3,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import trio
+
 from sassafras_base import events
 from sassafras_wire.http import client as http_client
-import trio
 
 Serve = Callable[[trio.SocketStream, str], Awaitable[None]]
 
--- a/packages/sassafras-node/src/sassafras_node/main.py
+++ b/packages/sassafras-node/src/sassafras_node/main.py
@@ -8,16 +8,16 @@
 
 from absl import app
 from absl import flags
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import supervision
-from sassafras_wire.settings import loader
-from sassafras_wire.settings import node as node_settings
-import trio
-
 from sassafras_node import runtime as runtimes
 from sassafras_node import supervisor
+from sassafras_wire.settings import loader
+from sassafras_wire.settings import node as node_settings
 
 _SETTINGS = flags.DEFINE_string(
     "settings", None, "Path of the node's INI settings file.", required=True
--- a/packages/sassafras-node/src/sassafras_node/membership/detector.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/detector.py
@@ -1,10 +1,10 @@
 """Detects neighbours that have failed."""
 
-from sassafras_base import events
-from sassafras_policy.membership import records
 import trio
 
+from sassafras_base import events
 from sassafras_node import runtime as runtimes
+from sassafras_policy.membership import records
 
 _CHECK_INTERVAL_S = 0.25
 
--- a/packages/sassafras-node/src/sassafras_node/membership/forgetting.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/forgetting.py
@@ -1,9 +1,9 @@
 """Drops the records of nodes that have been gone for long."""
 
-from sassafras_policy.membership import records
 import trio
 
 from sassafras_node import runtime as runtimes
+from sassafras_policy.membership import records
 
 _CHECKS_PER_LIFETIME = 20
 _LONGEST_CHECK_INTERVAL_S = 30.0
--- a/packages/sassafras-node/src/sassafras_node/membership/roster.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/roster.py
@@ -10,17 +10,17 @@
 from collections.abc import Callable
 import enum
 
+import trio
+
 from sassafras_base import events
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
+from sassafras_node.store import keys
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
 from sassafras_wire.membership import rosters as roster_models
 from sassafras_wire.peer import models
 from sassafras_wire.store import client as store_client
-import trio
-
-from sassafras_node import runtime as runtimes
-from sassafras_node.peers import handlers
-from sassafras_node.store import keys
 
 # Batches the nodes that start together into one epoch.
 _BATCH_S = 0.2
--- a/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/membership/supervisor.py
@@ -9,7 +9,6 @@
 import functools
 
 from sassafras_base import supervision
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.membership import detector
 from sassafras_node.membership import forgetting
--- a/packages/sassafras-node/src/sassafras_node/peers/handlers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handlers.py
@@ -6,15 +6,14 @@
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import registry
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import idempotent
 from sassafras_policy.configuration import document as documents
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.membership import rosters as roster_models
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
 
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import idempotent
-
 Handler = Callable[
     [runtimes.Runtime, links.Link, models.Message],
     Awaitable[models.Message | None],
--- a/packages/sassafras-node/src/sassafras_node/peers/handovers.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/handovers.py
@@ -5,18 +5,18 @@
 which returns them once.
 """
 
+import trio
+
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import hashing
+from sassafras_node import runtime as runtimes
+from sassafras_node.peers import handlers
 from sassafras_policy.idempotency import custody
 from sassafras_policy.idempotency import records
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
-
-from sassafras_node import runtime as runtimes
-from sassafras_node.peers import handlers
 
 _SEND_TIMEOUT_S = 10.0
 _ASK_TIMEOUT_S = 2.0
--- a/packages/sassafras-node/src/sassafras_node/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/link.py
@@ -1,11 +1,11 @@
 """The life of the control link to one neighbour: heartbeats and documents."""
 
-from sassafras_wire.peer import link as links
-from sassafras_wire.peer import models
 import trio
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
 
 # Changes often come in bursts, such as a new revision in the records of all
 # nodes; one message then carries them all. A change takes some 10 hops at most.
--- a/packages/sassafras-node/src/sassafras_node/peers/pool.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/pool.py
@@ -4,12 +4,12 @@
 import contextlib
 from typing import TypeVar
 
-from sassafras_base import errors
-from sassafras_wire.peer import link as links
-from sassafras_wire.peer import models
 import trio
 
+from sassafras_base import errors
 from sassafras_node.calls import contexts
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
 
 M = TypeVar("M", bound=models.Message)
 
--- a/packages/sassafras-node/src/sassafras_node/peers/rejoin.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/rejoin.py
@@ -6,13 +6,13 @@
 
 import random
 
-from sassafras_base import errors
-from sassafras_policy.membership import records
-from sassafras_wire.peer import link as links
 import trio
 
+from sassafras_base import errors
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import link as link_tasks
+from sassafras_policy.membership import records
+from sassafras_wire.peer import link as links
 
 _INTERVAL_S = 5.0
 
--- a/packages/sassafras-node/src/sassafras_node/peers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/session.py
@@ -1,16 +1,16 @@
 """The life of one connection from another node."""
 
+import trio
+
 from sassafras_base import errors
 from sassafras_base import events
+from sassafras_node import runtime as runtimes
+from sassafras_node.calls import inbound
+from sassafras_node.peers import handlers
 from sassafras_policy.calls import messages
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
-
-from sassafras_node import runtime as runtimes
-from sassafras_node.calls import inbound
-from sassafras_node.peers import handlers
 
 # Longer than the way to the first node and back at depth 10 across regions;
 # a retry that has to wait longer comes too late for most deadlines.
--- a/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
@@ -11,9 +11,9 @@
 import functools
 import math
 
-from sassafras_base import supervision
 import trio
 
+from sassafras_base import supervision
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handovers
--- a/packages/sassafras-node/src/sassafras_node/peers/traffic.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/traffic.py
@@ -1,8 +1,8 @@
 """Logs what the node exchanges with its peers besides calls."""
 
-from sassafras_base import events
 import trio
 
+from sassafras_base import events
 from sassafras_node import runtime as runtimes
 
 _INTERVAL_S = 5.0
--- a/packages/sassafras-node/src/sassafras_node/reports/fleet.py
+++ b/packages/sassafras-node/src/sassafras_node/reports/fleet.py
@@ -3,16 +3,16 @@
 import dataclasses
 
 from hdrh import histogram
-from sassafras_base import errors
-from sassafras_policy.configuration import document as documents
-from sassafras_policy.objectives import burn
-from sassafras_wire.peer import link as links
-from sassafras_wire.peer import models
 import trio
 
+from sassafras_base import errors
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
 from sassafras_node.reports import recorder
+from sassafras_policy.configuration import document as documents
+from sassafras_policy.objectives import burn
+from sassafras_wire.peer import link as links
+from sassafras_wire.peer import models
 
 _TIMEOUT_S = 2.0
 _CONCURRENCY = 8
--- a/packages/sassafras-node/src/sassafras_node/reports/html_page.py
+++ b/packages/sassafras-node/src/sassafras_node/reports/html_page.py
@@ -3,9 +3,8 @@
 import html
 import math
 
-from sassafras_policy.objectives import burn
-
 from sassafras_node.reports import fleet
+from sassafras_policy.objectives import burn
 
 _PERCENTILES = (0, 10, 25, 50, 75, 90, 95, 99, 99.9, 100)
 _PLOT_WIDTH = 260
--- a/packages/sassafras-node/src/sassafras_node/reports/recorder.py
+++ b/packages/sassafras-node/src/sassafras_node/reports/recorder.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hdrh import histogram
+
 from sassafras_base import clock as clocks
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
--- a/packages/sassafras-node/src/sassafras_node/reports/renderers.py
+++ b/packages/sassafras-node/src/sassafras_node/reports/renderers.py
@@ -4,10 +4,9 @@
 import json
 
 from sassafras_base import registry
-from sassafras_policy.objectives import burn
-
 from sassafras_node.reports import fleet
 from sassafras_node.reports import html_page
+from sassafras_policy.objectives import burn
 
 Renderer = Callable[[fleet.FleetReport], str]
 
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -4,9 +4,20 @@
 import pathlib
 import random
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_base import supervision
+from sassafras_node.calls import contexts
+from sassafras_node.limits import gate as gates
+from sassafras_node.membership import neighbours
+from sassafras_node.membership import silence
+from sassafras_node.peers import outbox
+from sassafras_node.peers import pool as peer_pool
+from sassafras_node.peers import views
+from sassafras_node.reports import recorder
+from sassafras_node.targets import beside
 from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.configuration import holder as holders
@@ -27,17 +38,6 @@
 from sassafras_wire.peer import link as links
 from sassafras_wire.settings import node as node_settings
 from sassafras_wire.store import client as store_client
-import trio
-
-from sassafras_node.calls import contexts
-from sassafras_node.limits import gate as gates
-from sassafras_node.membership import neighbours
-from sassafras_node.membership import silence
-from sassafras_node.peers import outbox
-from sassafras_node.peers import pool as peer_pool
-from sassafras_node.peers import views
-from sassafras_node.reports import recorder
-from sassafras_node.targets import beside
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/sassafras-node/src/sassafras_node/store/audit.py
+++ b/packages/sassafras-node/src/sassafras_node/store/audit.py
@@ -7,13 +7,13 @@
 import secrets
 
 import pydantic
-from sassafras_base import events
-from sassafras_wire.administration import models
-from sassafras_wire.store import client as store_client
 
+from sassafras_base import events
 from sassafras_node import runtime as runtimes
 from sassafras_node.store import keys
 from sassafras_node.store import numbered
+from sassafras_wire.administration import models
+from sassafras_wire.store import client as store_client
 
 RECORDS_KEPT = 1000
 
--- a/packages/sassafras-node/src/sassafras_node/store/history.py
+++ b/packages/sassafras-node/src/sassafras_node/store/history.py
@@ -4,13 +4,12 @@
 """
 
 from sassafras_base import errors
-from sassafras_policy.configuration import document as documents
-from sassafras_wire.configuration import models as configuration_models
-from sassafras_wire.store import client as store_client
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.store import keys
 from sassafras_node.store import numbered
+from sassafras_policy.configuration import document as documents
+from sassafras_wire.configuration import models as configuration_models
+from sassafras_wire.store import client as store_client
 
 # With documents of 1 MB, the largest allowed, this is 20 MB in the store.
 CONTENTS_KEPT = 20
--- a/packages/sassafras-node/src/sassafras_node/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/store/members.py
@@ -3,15 +3,15 @@
 import json
 
 import pydantic
+import trio
+
 from sassafras_base import events
+from sassafras_node import runtime as runtimes
+from sassafras_node.store import keys
 from sassafras_policy.membership import records
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
 from sassafras_wire.store import client as store_client
-import trio
-
-from sassafras_node import runtime as runtimes
-from sassafras_node.store import keys
 
 _WRITE_INTERVAL_S = 2.0
 # The seeds of the settings come first; most nodes that start then have no
--- a/packages/sassafras-node/src/sassafras_node/store/numbered.py
+++ b/packages/sassafras-node/src/sassafras_node/store/numbered.py
@@ -2,9 +2,10 @@
 
 import contextlib
 
-from sassafras_wire.store import client as store_client
 import trio
 
+from sassafras_wire.store import client as store_client
+
 _ATTEMPTS = 3
 _RETRY_INTERVAL_S = 0.2
 # Bounds the work that one change does when many keys are over the limit.
--- a/packages/sassafras-node/src/sassafras_node/store/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/store/supervisor.py
@@ -8,7 +8,6 @@
 import functools
 
 from sassafras_base import supervision
-
 from sassafras_node import runtime as runtimes
 from sassafras_node.store import members
 from sassafras_node.store import watch
--- a/packages/sassafras-node/src/sassafras_node/store/watch.py
+++ b/packages/sassafras-node/src/sassafras_node/store/watch.py
@@ -1,13 +1,13 @@
 """Watches the configuration in the store, while this node is the watcher."""
 
-from sassafras_base import events
-from sassafras_wire.peer import models
-from sassafras_wire.store import client as store_client
 import trio
 
+from sassafras_base import events
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
 from sassafras_node.store import keys
+from sassafras_wire.peer import models
+from sassafras_wire.store import client as store_client
 
 _RETRY_INTERVAL_S = 1.0
 # A watch whose connection died unnoticed is opened anew after this time.
--- a/packages/sassafras-node/src/sassafras_node/store/writer.py
+++ b/packages/sassafras-node/src/sassafras_node/store/writer.py
@@ -1,12 +1,12 @@
 """Writes the configuration for operators who use this node."""
 
 import result
-from sassafras_policy.configuration import document as documents
-from sassafras_wire.store import configuration_writer
 
 from sassafras_node import runtime as runtimes
 from sassafras_node.peers import handlers
 from sassafras_node.store import keys
+from sassafras_policy.configuration import document as documents
+from sassafras_wire.store import configuration_writer
 
 
 async def write(
--- a/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
+++ b/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
@@ -5,13 +5,13 @@
 candidate holds the lease and renews it; the others wait on a watch of its key.
 """
 
-from sassafras_base import events
-from sassafras_base import hashing
-from sassafras_wire.store import client as store_client
 import trio
 
+from sassafras_base import events
+from sassafras_base import hashing
 from sassafras_node import runtime as runtimes
 from sassafras_node.store import keys
+from sassafras_wire.store import client as store_client
 
 CANDIDATES = 3
 
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -7,11 +7,10 @@
 
 import functools
 
-from sassafras_base import events
-from sassafras_base import supervision
-from sassafras_policy.membership import records
 import trio
 
+from sassafras_base import events
+from sassafras_base import supervision
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
 from sassafras_node.admin import supervisor as admin
@@ -24,6 +23,7 @@
 from sassafras_node.store import supervisor as store
 from sassafras_node.targets import announcements
 from sassafras_node.targets import supervisor as targets
+from sassafras_policy.membership import records
 
 # New work must stop arriving before the listeners close: peers hear of the
 # planned stop with the next heartbeat.
--- a/packages/sassafras-node/src/sassafras_node/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/announcements.py
@@ -1,13 +1,13 @@
 """Reads a target's announcement."""
 
 import pydantic
+
+from sassafras_node import runtime as runtimes
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.membership import records
 from sassafras_wire.settings import node as node_settings
 
-from sassafras_node import runtime as runtimes
-
 PATH = "/sassafras/announcement"
 
 
--- a/packages/sassafras-node/src/sassafras_node/targets/beside.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/beside.py
@@ -1,13 +1,12 @@
 """What the node knows of the target beside it."""
 
 from sassafras_base import clock as clocks
+from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import policies
 from sassafras_policy.membership import records
 from sassafras_wire.http import pool
 from sassafras_wire.settings import node as node_settings
 
-from sassafras_node.targets import gate as gates
-
 _CONNECT_TIMEOUT_S = 1.0
 _STEP = "target.call"
 
--- a/packages/sassafras-node/src/sassafras_node/targets/expiry.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/expiry.py
@@ -1,11 +1,11 @@
 """Forgets a target that has stopped announcing itself."""
 
-from sassafras_base import events
-from sassafras_policy.membership import records
 import trio
 
+from sassafras_base import events
 from sassafras_node import runtime as runtimes
 from sassafras_node.targets import announcements
+from sassafras_policy.membership import records
 
 ANNOUNCEMENT_LIFETIME_S = 10.0
 _CHECK_INTERVAL_S = 0.5
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -6,12 +6,13 @@
 import dataclasses
 import enum
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import events
 from sassafras_policy.admission import policies
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
-import trio
 
 # A level that hovers around its open end would fill the log.
 _LOG_INTERVAL_S = 10.0
--- a/packages/sassafras-node/src/sassafras_node/targets/session.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/session.py
@@ -1,12 +1,12 @@
 """The life of one connection from the target beside the node."""
 
-from sassafras_policy.calls import messages
 import trio
 
 from sassafras_node import http_session
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import entry
 from sassafras_node.targets import announcements
+from sassafras_policy.calls import messages
 
 
 async def serve(
--- a/packages/sassafras-node/src/sassafras_node/targets/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/supervisor.py
@@ -7,7 +7,6 @@
 import functools
 
 from sassafras_base import supervision
-
 from sassafras_node import listening
 from sassafras_node import runtime as runtimes
 from sassafras_node.targets import expiry
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from sassafras_base import registry
-
 from sassafras_policy.admission import concurrency
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import queueing
--- a/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from sassafras_base import hashing
-
 from sassafras_policy.configuration import document as documents
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/idempotency/homes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/idempotency/homes.py
@@ -4,7 +4,6 @@
 import hashlib
 
 from sassafras_base import hashing
-
 from sassafras_policy.idempotency import records
 from sassafras_policy.membership import roster as rosters
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/asking.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/asking.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from sassafras_base import hashing
-
 from sassafras_policy.limits import exchanges
 from sassafras_policy.limits import shares
 from sassafras_policy.limits import token_share
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from sassafras_base import registry
-
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.limits import exchanges
 from sassafras_policy.membership import roster as rosters
--- a/packages/sassafras-policy/src/sassafras_policy/limits/shares.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/shares.py
@@ -4,7 +4,6 @@
 import dataclasses
 
 from sassafras_base import hashing
-
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.membership import roster as rosters
 
--- a/packages/sassafras-policy/src/sassafras_policy/retries/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/retries/policies.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from sassafras_base import registry
-
 from sassafras_policy.retries import failures
 
 # Attempts that the unbudgeted baseline makes at each hop, as many proxies do.
--- a/packages/sassafras-standins/src/sassafras_standins/capacity/configuration.py
+++ b/packages/sassafras-standins/src/sassafras_standins/capacity/configuration.py
@@ -5,9 +5,8 @@
 from sassafras_base import hashing
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import indexes
-from sassafras_wire.configuration import models
-
 from sassafras_standins.capacity import slopes
+from sassafras_wire.configuration import models
 
 _SIZES = (65, 260, 520)
 _TARGET_SERVICES = 520
--- a/packages/sassafras-standins/src/sassafras_standins/capacity/membership.py
+++ b/packages/sassafras-standins/src/sassafras_standins/capacity/membership.py
@@ -5,12 +5,11 @@
 from sassafras_base import hashing
 from sassafras_policy.membership import records
 from sassafras_policy.membership import table as tables
+from sassafras_standins.capacity import slopes
 from sassafras_wire.peer import codec
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
 
-from sassafras_standins.capacity import slopes
-
 _SIZES = (175, 700, 2800)
 _TARGET_NODES = 2800
 _SERVICES = 520
--- a/packages/sassafras-standins/src/sassafras_standins/capacity/reports.py
+++ b/packages/sassafras-standins/src/sassafras_standins/capacity/reports.py
@@ -7,7 +7,6 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import holder as holders
-
 from sassafras_standins.capacity import slopes
 
 _SIZES = (16, 64, 256)
--- a/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
@@ -13,17 +13,17 @@
 import sys
 import tempfile
 
+import trio
+
 from sassafras_base import errors
 from sassafras_base import hashing
 from sassafras_policy.calls import messages
 from sassafras_policy.configuration import document as documents
+from sassafras_standins.target import settings as target_settings
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.http import client as http_client
 from sassafras_wire.settings import node as node_settings
 from sassafras_wire.store import client as store_client
-import trio
-
-from sassafras_standins.target import settings as target_settings
 
 _HOST = "127.0.0.1"
 _LOWEST_PORT = 10_240
--- a/packages/sassafras-standins/src/sassafras_standins/load/steady.py
+++ b/packages/sassafras-standins/src/sassafras_standins/load/steady.py
@@ -3,9 +3,9 @@
 import dataclasses
 import itertools
 
-from sassafras_policy.calls import outcomes
 import trio
 
+from sassafras_policy.calls import outcomes
 from sassafras_standins.load import caller
 
 _TRIES = 6
--- a/packages/sassafras-standins/src/sassafras_standins/measure/control.py
+++ b/packages/sassafras-standins/src/sassafras_standins/measure/control.py
@@ -5,9 +5,9 @@
 import pathlib
 import re
 
-from sassafras_policy.configuration import document as documents
 import trio
 
+from sassafras_policy.configuration import document as documents
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
--- a/packages/sassafras-standins/src/sassafras_standins/measure/limits.py
+++ b/packages/sassafras-standins/src/sassafras_standins/measure/limits.py
@@ -9,10 +9,10 @@
 import dataclasses
 import signal
 
-from sassafras_base import hashing
-from sassafras_policy.configuration import document as documents
 import trio
 
+from sassafras_base import hashing
+from sassafras_policy.configuration import document as documents
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
--- a/packages/sassafras-standins/src/sassafras_standins/measure/overload.py
+++ b/packages/sassafras-standins/src/sassafras_standins/measure/overload.py
@@ -15,10 +15,10 @@
 import os
 import random
 
-from sassafras_policy.calls import messages
-from sassafras_policy.configuration import document as documents
 import trio
 
+from sassafras_policy.calls import messages
+from sassafras_policy.configuration import document as documents
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
--- a/packages/sassafras-standins/src/sassafras_standins/serving.py
+++ b/packages/sassafras-standins/src/sassafras_standins/serving.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 import functools
 
+import trio
+
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import client as http_client
 from sassafras_wire.http import server as http_server
-import trio
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
 
--- a/packages/sassafras-standins/src/sassafras_standins/store/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/store/server.py
@@ -9,11 +9,11 @@
 from typing import Any
 
 import h11
-from sassafras_wire.http import client as http_client
 import trio
 
 from sassafras_standins.store import data
 from sassafras_standins.store import faults as fault_modes
+from sassafras_wire.http import client as http_client
 
 _WATCH = "/v3/watch"
 _EXPIRY_INTERVAL_S = 0.1
--- a/packages/sassafras-standins/src/sassafras_standins/target/server.py
+++ b/packages/sassafras-standins/src/sassafras_standins/target/server.py
@@ -6,13 +6,13 @@
 import json
 from typing import Any
 
-from sassafras_base import errors
-from sassafras_policy.calls import messages
-from sassafras_wire.http import pool
 import trio
 
+from sassafras_base import errors
+from sassafras_policy.calls import messages
 from sassafras_standins import serving
 from sassafras_standins.target import settings as target_settings
+from sassafras_wire.http import pool
 
 _ANNOUNCE_INTERVAL_S = 2.0
 _RETRY_INTERVAL_S = 0.2
--- a/packages/sassafras-wire/src/sassafras_wire/configuration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/configuration/models.py
@@ -6,6 +6,7 @@
 
 import pydantic
 import result
+
 from sassafras_base import errors
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import validity
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -4,10 +4,11 @@
 import dataclasses
 
 import h11
+import trio
+
 from sassafras_base import errors
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
-import trio
 
 _READ_BYTES = 64 * 1024
 _HEADER_BYTES = 64 * 1024
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -1,10 +1,10 @@
 """A bounded pool of client connections to one server."""
 
+import trio
+
 from sassafras_base import errors
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
-import trio
-
 from sassafras_wire.http import client
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -4,10 +4,10 @@
 import math
 
 import h11
-from sassafras_base import errors
-from sassafras_policy.calls import messages
 import trio
 
+from sassafras_base import errors
+from sassafras_policy.calls import messages
 from sassafras_wire.http import fields
 
 _READ_BYTES = 64 * 1024
--- a/packages/sassafras-wire/src/sassafras_wire/membership/rosters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/membership/rosters.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pydantic
+
 from sassafras_base import errors
 from sassafras_policy.membership import roster as rosters
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/authentication.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/authentication.py
@@ -5,7 +5,6 @@
 import secrets
 
 from sassafras_base import errors
-
 from sassafras_wire.peer import models
 
 NONCE_BYTES = 16
--- a/packages/sassafras-wire/src/sassafras_wire/peer/codec.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/codec.py
@@ -2,9 +2,9 @@
 
 import cbor2
 import pydantic
+
 from sassafras_base import errors
 from sassafras_base import registry
-
 from sassafras_wire.peer import models
 
 MAXIMUM_FRAME_BYTES = 2 * 1024 * 1024
--- a/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/converters.py
@@ -6,7 +6,6 @@
 from sassafras_policy.calls import outcomes
 from sassafras_policy.limits import exchanges
 from sassafras_policy.membership import records
-
 from sassafras_wire.peer import models
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -4,7 +4,6 @@
 import itertools
 from typing import TypeVar
 
-from sassafras_base import errors
 import trio
 from websockets import exceptions
 from websockets import protocol as websocket_protocol
@@ -13,6 +12,7 @@
 from websockets.trio import connection as trio_connection
 from websockets.trio import server as trio_server
 
+from sassafras_base import errors
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import codec
 from sassafras_wire.peer import models
--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -7,6 +7,7 @@
 from typing import Literal
 
 import pydantic
+
 from sassafras_base import registry
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/questionnaire/generation.py
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/generation.py
@@ -1,7 +1,6 @@
 """Generates the configuration document from a questionnaire."""
 
 from sassafras_policy.configuration import document as documents
-
 from sassafras_wire.questionnaire import models
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/questionnaire/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/models.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pydantic
+
 from sassafras_policy.configuration import document as documents
 
 EVERY = "*"
--- a/packages/sassafras-wire/src/sassafras_wire/questionnaire/reading.py
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/reading.py
@@ -7,8 +7,8 @@
 
 import pydantic
 import result
-from sassafras_base import errors
 
+from sassafras_base import errors
 from sassafras_wire.questionnaire import models
 
 STEP = "questionnaire.check"
--- a/packages/sassafras-wire/src/sassafras_wire/settings/loader.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/loader.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 import pydantic
+
 from sassafras_base import errors
 
 M = TypeVar("M", bound=pydantic.BaseModel)
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import pydantic
+
 from sassafras_base import registry
 from sassafras_policy.admission import policies
 from sassafras_policy.balancing import balancers
--- a/packages/sassafras-wire/src/sassafras_wire/settings/operators.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/operators.py
@@ -5,8 +5,8 @@
 import re
 
 import pydantic
-from sassafras_base import errors
 
+from sassafras_base import errors
 from sassafras_wire.settings import loader
 from sassafras_wire.settings import node as node_settings
 
--- a/packages/sassafras-wire/src/sassafras_wire/store/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/client.py
@@ -8,10 +8,10 @@
 from typing import TypeVar
 
 import pydantic
-from sassafras_base import errors
-from sassafras_policy.calls import messages
 import trio
 
+from sassafras_base import errors
+from sassafras_policy.calls import messages
 from sassafras_wire.http import client as http_client
 from sassafras_wire.http import pool
 from sassafras_wire.settings import node as node_settings
--- a/packages/sassafras-wire/src/sassafras_wire/store/configuration_writer.py
+++ b/packages/sassafras-wire/src/sassafras_wire/store/configuration_writer.py
@@ -6,10 +6,10 @@
 
 import pydantic
 import result
-from sassafras_base import errors
-from sassafras_policy.configuration import document as documents
 import trio
 
+from sassafras_base import errors
+from sassafras_policy.configuration import document as documents
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.store import client as store_client
 from sassafras_wire.store import models
--- a/tests/common/administration.py
+++ b/tests/common/administration.py
@@ -5,6 +5,8 @@
 import pathlib
 import random
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import hashing
 from sassafras_node import runtime as runtimes
@@ -15,7 +17,6 @@
 from sassafras_standins.store import server as store_server
 from sassafras_wire.http import client as http_client
 from sassafras_wire.settings import node as node_settings
-import trio
 
 READER = "credential-of-the-reader"
 CHANGER = "credential-of-the-changer"
--- a/tests/common/fake_targets.py
+++ b/tests/common/fake_targets.py
@@ -4,9 +4,10 @@
 import socket
 import struct
 
-from sassafras_wire.http import client as http_client
 import trio
 
+from sassafras_wire.http import client as http_client
+
 ANSWER = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n"
     b"\r\ndone"
--- a/tests/common/nodes.py
+++ b/tests/common/nodes.py
@@ -5,6 +5,8 @@
 import random
 import tempfile
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_node import runtime as runtimes
@@ -14,7 +16,6 @@
 from sassafras_standins.fleet import launcher
 from sassafras_wire.peer import link as links
 from sassafras_wire.settings import node as node_settings
-import trio
 
 SECRET = "a-secret-for-nodes-in-one-process"
 
--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -3,17 +3,18 @@
 import functools
 import json
 
-from common import administration
-from common import waiting
 import h11
 import pytest
+import trio
+
+from common import administration
+from common import waiting
 from sassafras_node.admin import routing
 from sassafras_node.admin import supervisor as admin_supervisor
 from sassafras_node.store import audit
 from sassafras_node.store import history
 from sassafras_standins.store import faults
 from sassafras_wire.store import configuration_writer
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_admission_decisions.py
+++ b/tests/contract/test_admission_decisions.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from sassafras_policy.admission import concurrency
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import policies
--- a/tests/contract/test_balancing_decisions.py
+++ b/tests/contract/test_balancing_decisions.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+
 from sassafras_policy.balancing import balancers
 from sassafras_policy.balancing import health
 
--- a/tests/contract/test_body_budget.py
+++ b/tests/contract/test_body_budget.py
@@ -1,10 +1,11 @@
 """The bound on request bodies that all connections hold together."""
 
 import pytest
-from sassafras_wire.http import server
 import trio
 import trio.testing
 
+from sassafras_wire.http import server
+
 LIMITS = server.ServerLimits(body_bytes=100)
 
 
--- a/tests/contract/test_burn_report.py
+++ b/tests/contract/test_burn_report.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+
 from sassafras_base import clock as clocks
 from sassafras_node.reports import fleet
 from sassafras_node.reports import recorder
--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -4,16 +4,17 @@
 import json
 import pathlib
 
+import pytest
+import trio
+
 from common import administration
 from common import waiting
-import pytest
 from sassafras_cli import exit_codes
 from sassafras_cli import help_text
 from sassafras_cli import main
 from sassafras_cli import registry
 from sassafras_standins.fleet import launcher
 from sassafras_standins.store import faults
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_configuration_changes.py
+++ b/tests/contract/test_configuration_changes.py
@@ -4,6 +4,7 @@
 
 import pytest
 import result
+
 from sassafras_policy.configuration import differences
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import edits
--- a/tests/contract/test_configuration_writer.py
+++ b/tests/contract/test_configuration_writer.py
@@ -5,6 +5,8 @@
 
 import pytest
 import result
+import trio
+
 from sassafras_policy.configuration import document as documents
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
@@ -14,7 +16,6 @@
 from sassafras_wire.settings import node as node_settings
 from sassafras_wire.store import client as store_client
 from sassafras_wire.store import configuration_writer as writers
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_cut_points.py
+++ b/tests/contract/test_cut_points.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+import pytest
+import trio
+
 from common import call_nodes
 from common import fake_targets
-import pytest
 from sassafras_base import errors
 from sassafras_node.calls import entry
 from sassafras_policy.calls import outcomes
@@ -12,7 +14,6 @@
 from sassafras_wire.peer import codec
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
 
 Cut = fake_targets.Cut
 NOT_RUN = outcomes.Outcome.NOT_RUN
--- a/tests/contract/test_deadlines.py
+++ b/tests/contract/test_deadlines.py
@@ -1,12 +1,13 @@
 """Outcomes of calls whose deadline passes, and of stale connections."""
 
+import pytest
+import trio
+
 from common import call_nodes
 from common import fake_targets
-import pytest
 from sassafras_node.calls import entry
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import pool
-import trio
 
 NOT_RUN = outcomes.Outcome.NOT_RUN
 UNKNOWN = outcomes.Outcome.UNKNOWN
--- a/tests/contract/test_forged_contexts.py
+++ b/tests/contract/test_forged_contexts.py
@@ -2,8 +2,11 @@
 
 import contextlib
 
-from common import call_nodes
 import pytest
+import trio
+from websockets.trio import client as trio_client
+
+from common import call_nodes
 from sassafras_base import errors
 from sassafras_node.calls import entry
 from sassafras_policy.calls import messages
@@ -12,8 +15,6 @@
 from sassafras_wire.peer import codec
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
-from websockets.trio import client as trio_client
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_golden_sessions.py
+++ b/tests/contract/test_golden_sessions.py
@@ -4,10 +4,12 @@
 import json
 
 import cbor2
+import pytest
+import trio
+
 from common import golden
 from common import nodes
 from common import waiting
-import pytest
 from sassafras_node.peers import handlers
 from sassafras_node.store import keys
 from sassafras_node.store import writer
@@ -19,7 +21,6 @@
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_hostile_input.py
+++ b/tests/contract/test_hostile_input.py
@@ -4,10 +4,13 @@
 import secrets
 
 import cbor2
-from common import nodes
-from common import waiting
 import loguru
 import pytest
+import trio
+from websockets.trio import client as trio_client
+
+from common import nodes
+from common import waiting
 from sassafras_base import errors
 from sassafras_node.peers import handlers
 from sassafras_standins.fleet import samples
@@ -15,8 +18,6 @@
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
-from websockets.trio import client as trio_client
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_idempotency_keys.py
+++ b/tests/contract/test_idempotency_keys.py
@@ -1,14 +1,15 @@
 """Requests with an idempotency key, on nodes in one process."""
 
+import pytest
+import trio
+
 from common import call_nodes
 from common import fake_targets
-import pytest
 from sassafras_node.calls import entry
 from sassafras_policy.calls import outcomes
 from sassafras_policy.idempotency import homes
 from sassafras_policy.membership import roster as rosters
 from sassafras_standins import serving
-import trio
 
 NOT_RUN = outcomes.Outcome.NOT_RUN
 UNKNOWN = outcomes.Outcome.UNKNOWN
--- a/tests/contract/test_idempotency_records.py
+++ b/tests/contract/test_idempotency_records.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 import pytest
+
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.idempotency import homes
--- a/tests/contract/test_keys_stay_inside.py
+++ b/tests/contract/test_keys_stay_inside.py
@@ -2,10 +2,12 @@
 
 import base64
 
-from common import nodes
-from common import waiting
 import loguru
 import pytest
+import trio
+
+from common import nodes
+from common import waiting
 from sassafras_node.peers import handlers
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
@@ -13,7 +15,6 @@
 from sassafras_standins.target import server as target_server
 from sassafras_standins.target import settings as target_settings
 from sassafras_wire.peer import codec
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_membership_fleet.py
+++ b/tests/contract/test_membership_fleet.py
@@ -4,9 +4,11 @@
 import dataclasses
 import itertools
 
+import pytest
+import trio
+
 from common import nodes
 from common import waiting
-import pytest
 from sassafras_node.membership import neighbours
 from sassafras_node.peers import handlers
 from sassafras_policy.membership import records
@@ -15,7 +17,6 @@
 from sassafras_standins.fleet import samples
 from sassafras_wire.configuration import models as configuration_models
 from sassafras_wire.peer import models
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_membership_table.py
+++ b/tests/contract/test_membership_table.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+
 from sassafras_policy.membership import records
 from sassafras_policy.membership import table as tables
 
--- a/tests/contract/test_node_retries.py
+++ b/tests/contract/test_node_retries.py
@@ -1,11 +1,12 @@
 """Which failed attempts a node repeats itself, and how often."""
 
+import pytest
+import trio
+
 from common import call_nodes
 from common import fake_targets
-import pytest
 from sassafras_node.calls import entry
 from sassafras_policy.calls import outcomes
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_open_connections.py
+++ b/tests/contract/test_open_connections.py
@@ -1,8 +1,10 @@
 """Connections that callers keep open: withdrawn keys and planned stops."""
 
+import pytest
+import trio
+
 from common import nodes
 from common import waiting
-import pytest
 from sassafras_node.peers import handlers
 from sassafras_node.store import writer
 from sassafras_policy.calls import messages
@@ -10,7 +12,6 @@
 from sassafras_standins.fleet import samples
 from sassafras_standins.store import server as store_server
 from sassafras_wire.http import client as http_client
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_overload_path.py
+++ b/tests/contract/test_overload_path.py
@@ -2,6 +2,8 @@
 
 import types
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_node.calls import contexts
@@ -23,7 +25,6 @@
 from sassafras_standins.fleet import samples
 from sassafras_wire.http import client as http_client
 from sassafras_wire.settings import node as node_settings
-import trio
 
 OWN_ID = "10.0.0.1:7401"
 OPEN = levels.open_level(len(samples.CLASSES))
--- a/tests/contract/test_peer_answers.py
+++ b/tests/contract/test_peer_answers.py
@@ -2,8 +2,11 @@
 
 import contextlib
 
-from common import call_nodes
 import pytest
+import trio
+import trio.testing
+
+from common import call_nodes
 from sassafras_base import errors
 from sassafras_node.calls import contexts
 from sassafras_node.peers import session
@@ -11,8 +14,6 @@
 from sassafras_policy.retries import allowance
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
-import trio.testing
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_questionnaire.py
+++ b/tests/contract/test_questionnaire.py
@@ -6,6 +6,7 @@
 
 import pytest
 import result
+
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import indexes
 from sassafras_policy.configuration import validity
--- a/tests/contract/test_registry.py
+++ b/tests/contract/test_registry.py
@@ -1,6 +1,7 @@
 """The registry that decorators fill."""
 
 import pytest
+
 from sassafras_base import registry
 
 
--- a/tests/contract/test_retry_policies.py
+++ b/tests/contract/test_retry_policies.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.retries import backoff
--- a/tests/contract/test_retry_tree.py
+++ b/tests/contract/test_retry_tree.py
@@ -2,15 +2,16 @@
 
 import random
 
-from common import call_nodes
 import pytest
+import trio
+
+from common import call_nodes
 from sassafras_node.calls import entry
 from sassafras_policy.calls import messages
 from sassafras_standins import serving
 from sassafras_wire.http import pool
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
-import trio
 
 _DEPTH = 10
 _FAN_OUT = 2
--- a/tests/contract/test_supervision_of_nodes.py
+++ b/tests/contract/test_supervision_of_nodes.py
@@ -2,9 +2,11 @@
 
 import itertools
 
+import pytest
+import trio
+
 from common import nodes
 from common import waiting
-import pytest
 from sassafras_node.peers import handlers
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
@@ -12,7 +14,6 @@
 from sassafras_standins.store import server as store_server
 from sassafras_standins.target import server as target_server
 from sassafras_standins.target import settings as target_settings
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/contract/test_target_gate.py
+++ b/tests/contract/test_target_gate.py
@@ -1,11 +1,12 @@
 """Waiting at the gate of a target, on the mock clock."""
 
+import trio
+import trio.testing
+
 from sassafras_base import clock as clocks
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import policies
 from sassafras_policy.calls import messages
-import trio
-import trio.testing
 
 
 def _context(priority=2, deadline=1000.0):
--- a/tests/contract/test_zone_watcher.py
+++ b/tests/contract/test_zone_watcher.py
@@ -2,9 +2,11 @@
 
 import contextlib
 
+import pytest
+import trio
+
 from common import nodes
 from common import waiting
-import pytest
 from sassafras_node.store import keys
 from sassafras_node.store import zone_lease
 from sassafras_standins.fleet import launcher
@@ -12,7 +14,6 @@
 from sassafras_standins.store import faults
 from sassafras_standins.store import server
 from sassafras_wire.configuration import models as configuration_models
-import trio
 
 pytestmark = pytest.mark.loopback
 
--- a/tests/golden/test_administration_session.py
+++ b/tests/golden/test_administration_session.py
@@ -10,9 +10,10 @@
 import pathlib
 import re
 
+import pytest
+
 from common import administration
 from common import waiting
-import pytest
 from sassafras_cli import main
 from sassafras_standins.store import faults
 
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -1,11 +1,12 @@
 """Gates of many nodes whose exchanges run in memory, on trio's clock."""
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_node.limits import gate as gates
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import roster as rosters
-import trio
 
 ORGANISATION = "national-bank"
 _ONE_WAY_S = 0.001
--- a/tests/limits/test_shares_keep_the_rate.py
+++ b/tests/limits/test_shares_keep_the_rate.py
@@ -6,10 +6,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
-from sassafras_policy.limits import token_escrow
-from sassafras_standins.load import windows
 
 from limits import simulation
+from sassafras_policy.limits import token_escrow
+from sassafras_standins.load import windows
 
 _FAULTS = ("pause", "restart", "cut", "join", "leave", "rate")
 
--- a/tests/limits/test_token_escrow.py
+++ b/tests/limits/test_token_escrow.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.limits import limiters
 from sassafras_policy.limits import token_escrow
--- a/tests/limits/test_token_share.py
+++ b/tests/limits/test_token_share.py
@@ -3,6 +3,7 @@
 import math
 
 import pytest
+
 from sassafras_policy.limits import token_share
 
 LIFETIME_S = 0.25
--- a/tests/limits/test_wrongful_refusals.py
+++ b/tests/limits/test_wrongful_refusals.py
@@ -7,10 +7,10 @@
 import random
 
 import pytest
-from sassafras_standins.load import windows
 import trio
 
 from limits import fleet as fleets
+from sassafras_standins.load import windows
 
 HOSTS = 10
 LOAD = 0.95
--- a/tests/processes/test_failing_targets.py
+++ b/tests/processes/test_failing_targets.py
@@ -3,11 +3,12 @@
 import dataclasses
 
 import pytest
+import trio
+
 from sassafras_policy.calls import messages
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
-import trio
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_first_configuration.py
+++ b/tests/processes/test_first_configuration.py
@@ -3,9 +3,10 @@
 import json
 import re
 
+import pytest
+
 from common import administration
 from common import waiting
-import pytest
 from sassafras_standins.demo import commands
 from sassafras_standins.fleet import launcher
 from sassafras_standins.load import caller
--- a/tests/processes/test_idempotency_restart.py
+++ b/tests/processes/test_idempotency_restart.py
@@ -1,7 +1,8 @@
 """Keys across a planned restart and a crash of their home, as processes."""
 
-from common import waiting
 import pytest
+
+from common import waiting
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -1,12 +1,13 @@
 """Several nodes together keep an organisation's rate, as real processes."""
 
-from common import waiting
 import pytest
+import trio
+
+from common import waiting
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
 from sassafras_standins.load import windows
-import trio
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_planned_stops.py
+++ b/tests/processes/test_planned_stops.py
@@ -3,13 +3,14 @@
 import dataclasses
 import signal
 
-from common import waiting
 import pytest
+import trio
+
+from common import waiting
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
 from sassafras_standins.load import steady
-import trio
 
 pytestmark = pytest.mark.processes
 
--- a/tests/processes/test_roster.py
+++ b/tests/processes/test_roster.py
@@ -1,7 +1,8 @@
 """The roster in the store and at every node, as real processes."""
 
-from common import waiting
 import pytest
+
+from common import waiting
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_wire.membership import rosters as roster_models
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -2,8 +2,9 @@
 
 import json
 
-from common import waiting
 import pytest
+
+from common import waiting
 from sassafras_standins.fleet import launcher
 from sassafras_standins.fleet import samples
 from sassafras_standins.load import caller
--- a/tests/properties/test_retry_bound.py
+++ b/tests/properties/test_retry_bound.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+
 from sassafras_policy.retries import allowance
 from sassafras_policy.retries import guard
 from sassafras_policy.retries import repeats
--- a/tests/properties/test_roster_epochs.py
+++ b/tests/properties/test_roster_epochs.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+
 from sassafras_base import errors
 from sassafras_policy.membership import records
 from sassafras_policy.membership import roster as rosters
