Show this node's share of each limit in the status; test the report command

Cause: the status showed what an organisation pays for, but not what this node can admit, and the report command had no test of its own. Change: the base rate and the tokens at this node in the status; tests of each form of the report and of its faults.

--- a/packages/sassafras-cli/src/sassafras_cli/commands/status.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/status.py
@@ -47,9 +47,21 @@
     if found.limits:
         parts.append(
             tables.render(
-                ("ORGANISATION", "RATE_PER_S", "BURST"),
+                (
+                    "ORGANISATION",
+                    "RATE_PER_S",
+                    "BURST",
+                    "RATE_HERE",
+                    "TOKENS_HERE",
+                ),
                 [
-                    (limit.organisation, limit.rate_per_s, limit.burst)
+                    (
+                        limit.organisation,
+                        limit.rate_per_s,
+                        limit.burst,
+                        f"{limit.node_rate_per_s:.1f}",
+                        f"{limit.node_tokens:.1f}",
+                    )
                     for limit in found.limits
                 ],
             )
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -8,6 +8,7 @@
 from sassafras_node.admin.routes import targets
 from sassafras_policy.admission import levels
 from sassafras_policy.calls import outcomes
+from sassafras_policy.configuration import document as documents
 from sassafras_wire.administration import models
 from sassafras_wire.settings import operators
 
@@ -38,18 +39,28 @@
             open_level=_open_level(runtime),
             levels=_levels(runtime),
             limits=tuple(
-                models.Limit(
-                    organisation=organisation.name,
-                    rate_per_s=organisation.rate_per_s,
-                    burst=organisation.burst,
-                )
-                for organisation in organisations
+                _limit(runtime, organisation) for organisation in organisations
             ),
             refusals=_refusals(runtime),
         )
     )
 
 
+def _limit(
+    runtime: runtimes.Runtime, organisation: documents.Organisation
+) -> models.Limit:
+    share = runtime.limiter.share(
+        organisation.name, runtime.clock.now_with_suspend()
+    )
+    return models.Limit(
+        organisation=organisation.name,
+        rate_per_s=organisation.rate_per_s,
+        burst=organisation.burst,
+        node_rate_per_s=share.rate_per_s,
+        node_tokens=share.held,
+    )
+
+
 def _open_level(runtime: runtimes.Runtime) -> int:
     index = runtime.configuration.index
     return levels.open_level(index.class_count) if index else 0
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -28,6 +28,19 @@
     settled: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareState:
+    """One node's part in the tokens of an organisation, for operators.
+
+    Attributes:
+      rate_per_s: Base rate of the node.
+      held: Tokens that it can spend now.
+    """
+
+    rate_per_s: float = 0.0
+    held: float = 0.0
+
+
 class Limiter(Protocol):
     """Decides whether a root request of an organisation may be admitted.
 
@@ -43,6 +56,10 @@
         """Takes over rates, bursts and the roster."""
         ...
 
+    def share(self, organisation: str, now: float) -> ShareState:
+        """Returns this node's part, for operators."""
+        ...
+
     def arrived(self, organisation: str, now: float) -> None:
         """Counts a request that needs a token."""
         ...
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -16,6 +16,16 @@
         self._level = 0.0
         self._updated = now
 
+    @property
+    def rate_per_s(self) -> float:
+        """The rate at which it refills."""
+        return self._rate_per_s
+
+    def held(self, now: float) -> float:
+        """Returns the tokens that can be spent now."""
+        self._refill(now)
+        return self._level
+
     def resize(self, rate_per_s: float, capacity: float, now: float) -> None:
         """Changes rate and capacity; tokens above the capacity are lost."""
         self._refill(now)
@@ -71,6 +81,13 @@
             for organisation in situation.organisations
         }
 
+    def share(self, organisation: str, now: float) -> limiters.ShareState:
+        """See Limiter."""
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            return limiters.ShareState()
+        return limiters.ShareState(bucket.rate_per_s, bucket.held(now))
+
     def arrived(self, organisation: str, now: float) -> None:
         """See Limiter; demand changes nothing."""
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
@@ -133,6 +133,15 @@
         self._accounts = accounts
         self._holders = tuple(sorted(holders))
 
+    def share(self, organisation: str, now: float) -> limiters.ShareState:
+        """See Limiter."""
+        account = self._accounts.get(organisation)
+        if account is None:
+            return limiters.ShareState()
+        return limiters.ShareState(
+            account.share.rate_per_s, account.share.held(now)
+        )
+
     def arrived(self, organisation: str, now: float) -> None:
         """See Limiter."""
         account = self._accounts.get(organisation)
--- a/packages/sassafras-wire/src/sassafras_wire/administration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/administration/models.py
@@ -368,11 +368,21 @@
 
 
 class Limit(Answer):
-    """What an organisation pays for, over all hosts together."""
+    """What an organisation pays for, and this node's part in it.
+
+    Attributes:
+      organisation: Its name.
+      rate_per_s: Its rate over all hosts together.
+      burst: Its burst over all hosts together.
+      node_rate_per_s: Base rate of this node; 0 when it is not a holder.
+      node_tokens: Tokens that this node can spend now.
+    """
 
     organisation: str
     rate_per_s: float
     burst: float
+    node_rate_per_s: float = 0.0
+    node_tokens: float = 0.0
 
 
 class AuditRecord(Answer):
--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -111,6 +111,9 @@
 
 # Each row: method, path, body, status, and a text in the answer.
 REFUSED_REQUESTS = [
+    ("GET", "/report?format=pdf", None, 400, "html, json, text"),
+    ("GET", "/report?form=text", None, 400, "form"),
+    ("GET", "/metrics?x=1", None, 400, "x"),
     ("GET", "/nowhere", None, 404, "no route"),
     ("DELETE", "/keys", None, 405, "use GET"),
     ("POST", "/keys/grant", b"{not json", 400, "JSON"),
@@ -562,11 +565,17 @@
         status = (await site.request("GET", "/status")).json
         assert status["revision"] == 2
         assert status["target"]["address"] == administration.TARGET
-        assert status["limits"][0] == {
-            "organisation": "national-bank",
-            "rate_per_s": 100.0,
-            "burst": 50.0,
-        }
+        limit = status["limits"][0]
+        assert limit["organisation"] == "national-bank"
+        assert (limit["rate_per_s"], limit["burst"]) == (100.0, 50.0)
+
+        async def holds_all():
+            limits = (await site.request("GET", "/status")).json["limits"]
+            return limits[0]["node_rate_per_s"] == 100.0 and limits[0]
+
+        # The only node of the roster has the whole rate.
+        limit = await waiting.until(holds_all, "the node is in the roster")
+        assert 0.0 <= limit["node_tokens"] <= 50.0
         assert status["refusals"] == {}
         assert status["target_limit"] >= 1
         assert status["open_level"] == 256
--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -133,6 +133,10 @@
 
 # Each row: the command line, and a text in what is printed.
 USAGE_FAULTS = [
+    (
+        ["report", "--format=pdf", "--node=127.0.0.1:1"],
+        "should be one of",
+    ),
     (["fly"], "no command 'fly'"),
     (["help", "fly"], "no command 'fly'"),
     (["check"], "usage: sassafras check FILE"),
@@ -257,6 +261,23 @@
         ]
 
 
+@pytest.mark.parametrize(
+    ("flags", "text"),
+    [
+        ([], "Service-level burn report\nnodes: 1, missing: 0"),
+        (["--format=html"], "<!doctype html>"),
+        (["--json"], '"missing": []'),
+    ],
+)
+async def test_the_report_comes_in_each_form(tmp_path, flags, text):
+    """Guards against a form that the node has and the command cannot print."""
+    async with administration.site(tmp_path) as site:
+        operator = await prepared(site)
+        printed = await operator.run("report", *flags)
+        assert printed.code == 0, printed.text
+        assert text in printed.out
+
+
 # Each row: the command line, the exit code, and a text in what is printed.
 REFUSED = [
     (["apply", "FILE"], 3, "revision 2 is stored"),
