--- a/packages/sassafras-base/src/sassafras_base/supervision.py
+++ b/packages/sassafras-base/src/sassafras_base/supervision.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 
 import trio
@@ -134,6 +135,21 @@
         if scope is not None:
             scope.cancel()
 
+    def keep_only(
+        self, prefix: str, wanted: Mapping[str, ChildFunction]
+    ) -> None:
+        """Makes the children whose names begin with a prefix be the wanted.
+
+        Args:
+          prefix: Beginning of the names; other children are left alone.
+          wanted: What to run, by the rest of the name.
+        """
+        for name in self.children:
+            if name.startswith(prefix) and name[len(prefix) :] not in wanted:
+                self.remove(name)
+        for name, run in wanted.items():
+            self.add(Child(prefix + name, run))
+
     def interrupt(self, name: str) -> None:
         """Cancels the running attempt of a child, which is then restarted."""
         attempt = self._attempts.get(name)
--- a/packages/sassafras-cli/src/sassafras_cli/commands/contents.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/contents.py
@@ -8,8 +8,10 @@
 
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
+from sassafras_policy.configuration import document as documents
 from sassafras_wire.administration import models
 from sassafras_wire.configuration import models as configuration_models
+from sassafras_wire.questionnaire import models as questionnaire_models
 from sassafras_wire.questionnaire import reading
 
 _DOCUMENT_SUFFIX = ".json"
@@ -44,14 +46,11 @@
             for fault in checked.err_value
         )
         return _invalid(path, f"{len(faults)} fault(s)", faults)
-    found = checked.ok_value
-    summary = (
-        f"{len(found.services)} services, {len(found.organisations)}"
-        f" organisations, {len(found.routes)} routes,"
-        f" {len(found.objectives)} objectives"
-    )
     return result.Ok(
-        FileContent(models.ContentRequest(questionnaire=text), summary)
+        FileContent(
+            models.ContentRequest(questionnaire=text),
+            _summary(checked.ok_value),
+        )
     )
 
 
@@ -76,15 +75,21 @@
             for fault in checked.err_value
         )
         return _invalid(path, f"{len(faults)} fault(s)", faults)
-    found = checked.ok_value
-    summary = (
+    return result.Ok(
+        FileContent(
+            models.ContentRequest(document=content), _summary(checked.ok_value)
+        )
+    )
+
+
+def _summary(
+    found: questionnaire_models.Questionnaire | documents.Document,
+) -> str:
+    return (
         f"{len(found.services)} services, {len(found.organisations)}"
         f" organisations, {len(found.routes)} routes,"
         f" {len(found.objectives)} objectives"
     )
-    return result.Ok(
-        FileContent(models.ContentRequest(document=content), summary)
-    )
 
 
 def _invalid(
--- a/packages/sassafras-node/src/sassafras_node/limits/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/supervisor.py
@@ -43,17 +43,12 @@
     """Keeps one exchange for each holder."""
     while True:
         changed = runtime.changed
-        wanted = {
-            _PREFIX + holder: holder for holder in runtime.limiter.holders
-        }
-        for name in supervisor.children:
-            if name.startswith(_PREFIX) and name not in wanted:
-                supervisor.remove(name)
-        for name, holder in wanted.items():
-            supervisor.add(
-                supervision.Child(
-                    name, functools.partial(exchange.run, runtime, holder)
-                )
-            )
+        supervisor.keep_only(
+            _PREFIX,
+            {
+                holder: functools.partial(exchange.run, runtime, holder)
+                for holder in runtime.limiter.holders
+            },
+        )
         with trio.move_on_after(_CHECK_INTERVAL_S):
             await changed.wait()
--- a/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/supervisor.py
@@ -9,7 +9,6 @@
 """
 
 import functools
-import math
 
 import trio
 
@@ -27,6 +26,8 @@
 )
 _LINK_PREFIX = "link:"
 _RING_INTERVAL_S = 0.5
+# Many nodes that start at once change the ring many times in a moment.
+_RING_BATCH_S = 0.02
 
 
 async def run(runtime: runtimes.Runtime, listener: listening.Listener) -> None:
@@ -81,20 +82,13 @@
     """Keeps one link for each neighbour on the ring."""
     while True:
         changed = runtime.changed
-        wanted = {
-            _LINK_PREFIX + node_id: node_id
-            for node_id in runtime.neighbours.choose(runtime.clock.now())
-        }
-        for name in links.children:
-            if name.startswith(_LINK_PREFIX) and name not in wanted:
-                links.remove(name)
-        for name, node_id in wanted.items():
-            links.add(
-                supervision.Child(
-                    name, functools.partial(link.run, runtime, node_id)
-                )
-            )
+        links.keep_only(
+            _LINK_PREFIX,
+            {
+                node_id: functools.partial(link.run, runtime, node_id)
+                for node_id in runtime.neighbours.choose(runtime.clock.now())
+            },
+        )
         with trio.move_on_after(_RING_INTERVAL_S):
             await changed.wait()
-        # Batches the burst of changes when many nodes start at once.
-        await trio.sleep(math.ulp(1.0))
+        await trio.sleep(_RING_BATCH_S)
