Tell the gate of the limits from the gate of the target by name

Cause: runtime.gate and runtime.target.gate were two different things. Change: rename the first to limit_gate, its class to LimitGate. Measured: the tests of limits and of the overload path pass.

--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -51,7 +51,7 @@
     if isinstance(scope, messages.Answer):
         return scope
     if organisation:
-        due_in_s = await runtime.gate.admit(organisation)
+        due_in_s = await runtime.limit_gate.admit(organisation)
         if due_in_s is not None:
             return messages.refusal(
                 outcomes.Reason.ORGANISATION_LIMIT,
--- a/packages/sassafras-node/src/sassafras_node/limits/exchange.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/exchange.py
@@ -17,7 +17,7 @@
 
 async def run(runtime: runtimes.Runtime, holder: str) -> None:
     """Sends this node's asks to a holder, one after another."""
-    mailbox = runtime.gate.open_mailbox(holder)
+    mailbox = runtime.limit_gate.open_mailbox(holder)
     try:
         while True:
             ask = await mailbox.receive()
@@ -30,7 +30,7 @@
                         await link.abort()
                     nursery.cancel_scope.cancel()
     finally:
-        runtime.gate.close_mailbox(holder)
+        runtime.limit_gate.close_mailbox(holder)
 
 
 async def _connect(
@@ -39,7 +39,7 @@
     try:
         return await links.open_link(nursery, ask.holder, runtime.credentials)
     except BaseException:
-        runtime.gate.failed(ask)
+        runtime.limit_gate.failed(ask)
         raise
 
 
@@ -63,14 +63,16 @@
     # its grant, which is later, so it waits for longer than this node.
     sent_at = runtime.clock.now_with_suspend()
     if sent_at - ask.planned_at > _STALE_AFTER_S:
-        runtime.gate.failed(ask)
+        runtime.limit_gate.failed(ask)
         return
     try:
         with trio.fail_after(_ANSWER_TIMEOUT_S):
             await link.send(converters.ask_to_message(ask))
             reply = await link.expect(models.TokenGrant)
     except BaseException:
-        runtime.gate.failed(ask)
+        runtime.limit_gate.failed(ask)
         raise
     if reply.number == ask.number:
-        runtime.gate.receive(ask, converters.message_to_grant(reply), sent_at)
+        runtime.limit_gate.receive(
+            ask, converters.message_to_grant(reply), sent_at
+        )
--- a/packages/sassafras-node/src/sassafras_node/limits/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/gate.py
@@ -33,7 +33,7 @@
     received: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
-class Gate:
+class LimitGate:
     """Takes a token for each root request, and asks holders for more.
 
     The limiter decides; the gate lets requests wait and puts asks into the
--- a/packages/sassafras-node/src/sassafras_node/limits/handler.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/handler.py
@@ -14,5 +14,5 @@
     """Deducts tokens from the own share and grants them."""
     del link
     assert isinstance(message, models.TokenAsk)
-    grant = runtime.gate.give(message.organisation, message.wanted)
+    grant = runtime.limit_gate.give(message.organisation, message.wanted)
     return converters.grant_to_message(message.number, grant)
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -83,7 +83,7 @@
       table: Membership; fed by peers, detector and the target's session.
       contexts: Call contexts of calls at the target beside the node.
       limiter: Rates of organisations.
-      gate: Admission by the limiter; fed by the exchange of tokens.
+      limit_gate: Admission by the limiter; fed by the exchange of tokens.
       balancer: Choice among targets.
       retry_policy: Whether a failed call is tried again.
       retry_guard: Retries of this node as a part of its first attempts.
@@ -132,7 +132,7 @@
         self.table = tables.Table(own)
         self.contexts = contexts.ContextTable()
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
-        self.gate = gates.Gate(self.limiter, clock)
+        self.limit_gate = gates.LimitGate(self.limiter, clock)
         factory = balancers.balancers.get(settings.policy.balancer)
         self.balancer = factory(rng)  # type: ignore[call-arg]
         self.retry_policy = retry_policies.retry_policies.get(
--- a/tests/common/call_nodes.py
+++ b/tests/common/call_nodes.py
@@ -107,7 +107,7 @@
         }
     )
     runtime = runtimes.Runtime(settings, clocks.TrioClock(), random.Random(1))
-    runtime.gate = NoLimit()
+    runtime.limit_gate = NoLimit()
     return runtime
 
 
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -19,7 +19,7 @@
         self.node_id = node_id
         self.clock = clocks.TrioClock()
         self.limiter = limiters.limiters.get(limiter_name)()
-        self.gate = gates.Gate(self.limiter, self.clock)
+        self.gate = gates.LimitGate(self.limiter, self.clock)
         self.silent = False
 
 
