Say availability zone in log lines, tables and comments

Cause: some texts said zone, which the glossary does not have. Change: the word of the glossary; the log line of an ended watch is shorter.

--- a/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
@@ -22,7 +22,7 @@
     table = tables.render(
         (
             "NODE",
-            "ZONE",
+            "AVAILABILITY_ZONE",
             "STATUS",
             "INCARNATION",
             "REVISION",
--- a/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
@@ -31,7 +31,15 @@
     if isinstance(got, result.Err):
         return invocation.fail(got.err_value)
     table = tables.render(
-        ("SERVICE", "TARGET", "STATE", "STOPPED", "SLOTS", "ZONE", "NODE"),
+        (
+            "SERVICE",
+            "TARGET",
+            "STATE",
+            "STOPPED",
+            "SLOTS",
+            "AVAILABILITY_ZONE",
+            "NODE",
+        ),
         [
             (
                 target.service,
--- a/packages/sassafras-node/src/sassafras_node/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/store/members.py
@@ -36,7 +36,7 @@
 
 
 async def run(runtime: runtimes.Runtime) -> None:
-    """Reads the lists if no peer is known; writes this zone's as watcher."""
+    """Reads the lists if no peer is known; writes the own one as watcher."""
     await trio.sleep(_SEED_PATIENCE_S)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_read_until_peers_are_known, runtime)
--- a/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
+++ b/packages/sassafras-node/src/sassafras_node/store/zone_lease.py
@@ -1,6 +1,6 @@
 """Election of the watcher of an availability zone, by a lease.
 
-Of the nodes of the zone that are alive, the first few by hash campaign; the
+Of the living nodes of an availability zone, the first few by hash campaign; the
 others do not call the store, so its load does not grow with the fleet. One
 candidate holds the lease and renews it; the others wait on a watch of its key.
 """
@@ -17,7 +17,7 @@
 
 _RENEWALS_PER_LEASE = 2.5
 # A new node hears from its peers within this time; before, it would take
-# itself for the only node of its zone.
+# itself for the only node of its availability zone.
 _START_DELAY_S = 1.0
 # Keeps candidates that lose a race from trying again at once.
 _PAUSE_S = 0.2
@@ -44,10 +44,10 @@
 def watcher_ended(availability_zone: str, reason: str) -> str:
     """This node no longer watches the store for its availability zone.
 
-    Another node of the zone takes over when the lease has lapsed, at the
-    latest. Two watchers at a time are harmless.
+    Another of its nodes takes over when the lease has lapsed, at the latest.
+    Two watchers at a time are harmless.
     """
-    return f"no longer watching for zone {availability_zone}: {reason}"
+    return f"ended watching for {availability_zone}: {reason}"
 
 
 @events.declare(505, "INFO")
