Keep one span for refusals without a better hint; show peers in the status

Cause: the same span stood in six modules, and the status did not say how many peers a node sees. Change: messages.RETRY_AFTER_MS; peers in the status.

--- a/packages/sassafras-cli/src/sassafras_cli/commands/status.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/status.py
@@ -27,6 +27,7 @@
         ("revision in force", found.revision),
         ("roster epoch", found.roster_epoch),
         ("draining", found.draining),
+        ("peers alive", found.peers),
         ("calls in flight", found.calls_in_flight),
         ("target", target.address if target else None),
         ("target state", target.state if target else None),
--- a/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -28,6 +28,7 @@
             revision=runtime.configuration.revision,
             roster_epoch=runtime.roster.current.epoch,
             draining=runtime.drain.is_draining,
+            peers=len(runtime.table.peers),
             calls_in_flight=runtime.drain.in_flight,
             target=targets.describe(runtime, own)
             if own.target_address
--- a/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
@@ -22,8 +22,6 @@
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
 
-_RETRY_AFTER_MS = 1000
-
 # A peer ends a call this long before its caller does, so that its own verdict
 # about a passed deadline, which is exact, arrives in time.
 _VERDICT_MARGIN_S = 0.01
@@ -170,7 +168,7 @@
             outcomes.Reason.NO_TARGET,
             503,
             f"no target of service {request.service} takes calls",
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=messages.RETRY_AFTER_MS,
         )
     tried.add(record.node_id)
     if record.node_id == runtime.table.own_id:
@@ -233,7 +231,7 @@
             outcomes.Reason.UNREACHABLE,
             503,
             str(error),
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=messages.RETRY_AFTER_MS,
             retryable=True,
         )
     except (
--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -15,8 +15,6 @@
 from sassafras_policy.retries import allowance
 from sassafras_wire.http import fields
 
-_RETRY_AFTER_MS = 1000
-
 
 async def handle_root(
     runtime: runtimes.Runtime, request: messages.Request
@@ -28,14 +26,14 @@
             outcomes.Reason.LEAVING,
             503,
             "this node is stopping; use another",
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=messages.RETRY_AFTER_MS,
         )
     if index is None:
         return messages.refusal(
             outcomes.Reason.NO_CONFIGURATION,
             503,
             "this node has no configuration yet",
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=messages.RETRY_AFTER_MS,
         )
     entry = index.find_route(request.method, request.path_without_query)
     if entry is None:
--- a/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/idempotent.py
@@ -20,7 +20,6 @@
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import models
 
-_RETRY_AFTER_MS = 1000
 _MAXIMUM_KEY_LENGTH = 255
 _CLAIM_TIMEOUT_S = 1.0
 
@@ -106,7 +105,7 @@
                     outcomes.Reason.MEMORY,
                     503,
                     "the table of idempotency keys is full",
-                    retry_after_ms=_RETRY_AFTER_MS,
+                    retry_after_ms=messages.RETRY_AFTER_MS,
                 )
 
 
--- a/packages/sassafras-node/src/sassafras_node/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/local.py
@@ -13,8 +13,6 @@
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import fields
 
-_RETRY_AFTER_MS = 1000
-
 
 async def serve(
     runtime: runtimes.Runtime,
@@ -31,7 +29,7 @@
             outcomes.Reason.LEAVING,
             503,
             "the target takes no calls",
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=messages.RETRY_AFTER_MS,
             retryable=True,
         )
     # The call gives its place back at the gate that let it in, even when a
@@ -83,7 +81,7 @@
             outcomes.Reason.UNREACHABLE,
             503,
             str(error),
-            retry_after_ms=_RETRY_AFTER_MS,
+            retry_after_ms=messages.RETRY_AFTER_MS,
             retryable=True,
         )
     except errors.ConnectionLostError as error:
--- a/packages/sassafras-node/src/sassafras_node/calls/retrying.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/retrying.py
@@ -10,8 +10,6 @@
 from sassafras_policy.retries import policies
 from sassafras_policy.retries import repeats
 
-_RETRY_AFTER_MS = 1000
-
 
 async def serve_sub_call(
     runtime: runtimes.Runtime,
@@ -31,7 +29,7 @@
                 outcomes.Reason.RETRIES_EXHAUSTED,
                 503,
                 "no retry is left for this request; answer your caller",
-                retry_after_ms=_RETRY_AFTER_MS,
+                retry_after_ms=messages.RETRY_AFTER_MS,
             )
     else:
         runtime.retry_guard.first_attempt(runtime.clock.now())
--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -15,7 +15,6 @@
     413: outcomes.Reason.BODY_TOO_LARGE,
     503: outcomes.Reason.MEMORY,
 }
-_RETRY_AFTER_MS = 1000
 
 RefusalForm = Callable[[http_server.RequestRefusedError], messages.Answer]
 
@@ -27,7 +26,7 @@
         reason,
         error.status,
         error.problem,
-        retry_after_ms=_RETRY_AFTER_MS if error.status == 503 else 0,
+        retry_after_ms=messages.RETRY_AFTER_MS if error.status == 503 else 0,
     )
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -6,6 +6,9 @@
 
 BUCKET_COUNT = 128
 
+# For refusals whose cause gives no better time to come back.
+RETRY_AFTER_MS = 1000
+
 Headers = tuple[tuple[str, str], ...]
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/administration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/administration/models.py
@@ -336,6 +336,7 @@
     """The state of the node that answers.
 
     Attributes:
+      peers: Other nodes that this node takes for alive.
       calls_in_flight: Requests and peer calls being served.
       target_calls_in_flight: Calls that the target beside the node runs.
       target_load: Calls at that target as a part of its limit.
@@ -355,6 +356,7 @@
     revision: int
     roster_epoch: int
     draining: bool
+    peers: int = 0
     calls_in_flight: int
     target: Target | None = None
     target_calls_in_flight: int = 0
--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -564,6 +564,7 @@
         await administration.prepare(site)
         status = (await site.request("GET", "/status")).json
         assert status["revision"] == 2
+        assert status["peers"] == 0
         assert status["target"]["address"] == administration.TARGET
         limit = status["limits"][0]
         assert limit["organisation"] == "national-bank"
