Show the supervisor tree in the help of the node

Change: the help shows how the binary is used and each supervisor's children, from the docstrings of the supervisors; a test compares it with the folders.

--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/help_text.py
@@ -0,0 +1,47 @@
+"""What `sassafras-node --help` and `--helpfull` show above the flags."""
+
+import inspect
+import types
+
+from sassafras_node import supervisor as root
+from sassafras_node.admin import supervisor as admin
+from sassafras_node.callers import supervisor as callers
+from sassafras_node.limits import supervisor as limits
+from sassafras_node.membership import supervisor as membership
+from sassafras_node.peers import supervisor as peers
+from sassafras_node.store import supervisor as store
+from sassafras_node.targets import supervisor as targets
+
+SUPERVISORS: dict[str, types.ModuleType] = {
+    "node": root,
+    "node/store": store,
+    "node/peers": peers,
+    "node/membership": membership,
+    "node/limits": limits,
+    "node/targets": targets,
+    "node/callers": callers,
+    "node/admin": admin,
+}
+
+
+def describe(program: str) -> str:
+    """Returns how the binary is used and its supervisor tree."""
+    lines = [
+        f"USAGE: {program} --settings=FILE",
+        "",
+        "Runs the node of one target. SIGTERM ends it after the calls in",
+        "flight. Exit codes: 0 after a planned stop, 1 after a failure, 2 for",
+        "settings that are not valid.",
+        "",
+        "The tasks of the node, each restarted alone when it fails:",
+    ]
+    for path, module in SUPERVISORS.items():
+        lines.append(f"  {path}")
+        lines += [f"    {line}" for line in _children(module)]
+    return "\n".join(lines) + "\n"
+
+
+def _children(module: types.ModuleType) -> list[str]:
+    """Returns the docstring of a supervisor without its summary."""
+    _, _, rest = (inspect.getdoc(module) or "").partition("\n\n")
+    return rest.splitlines()
--- a/packages/sassafras-node/src/sassafras_node/main.py
+++ b/packages/sassafras-node/src/sassafras_node/main.py
@@ -14,6 +14,7 @@
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import supervision
+from sassafras_node import help_text
 from sassafras_node import runtime as runtimes
 from sassafras_node import supervisor
 from sassafras_wire.settings import loader
@@ -33,6 +34,8 @@
 
 def run() -> None:
     """Runs the binary."""
+    # absl shows the docstring of the main module above the list of flags.
+    sys.modules["__main__"].__doc__ = help_text.describe(sys.argv[0])
     app.run(_main)
 
 
--- /dev/null
+++ b/tests/contract/test_help_text.py
@@ -0,0 +1,22 @@
+"""The help of the node shows the supervisor tree."""
+
+import pathlib
+
+import sassafras_node
+from sassafras_node import help_text
+
+
+def test_the_help_names_every_supervisor_of_the_folder_tree():
+    """Guards against a part of the tree that no reader is told of."""
+    package = pathlib.Path(sassafras_node.__file__).parent
+    folders = {
+        path.parent.relative_to(package).as_posix()
+        for path in package.rglob("supervisor.py")
+    }
+    wanted = {
+        "node" if folder == "." else f"node/{folder}" for folder in folders
+    }
+    assert set(help_text.SUPERVISORS) == wanted
+    text = help_text.describe("sassafras-node")
+    for path in wanted:
+        assert f"  {path}\n    Child" in text
