Make changes from commands through one function

Cause: five commands built a request, checked it and sent it in the same way. Change: requests.change; the commands name the route and the models.

--- a/packages/sassafras-cli/src/sassafras_cli/commands/keys.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/keys.py
@@ -1,5 +1,7 @@
 """Commands for callers' keys."""
 
+from typing import TypeVar
+
 import result
 
 from sassafras_cli import client as clients
@@ -10,6 +12,8 @@
 from sassafras_cli.commands import requests
 from sassafras_wire.administration import models
 
+A = TypeVar("A", bound=models.Answer)
+
 
 @registry.command(
     "keys-grant",
@@ -20,12 +24,7 @@
 )
 async def grant(invocation: registry.Invocation) -> exit_codes.ExitCode:
     """Makes a new key and shows it, this one time."""
-    request = _request(invocation)
-    if isinstance(request, result.Err):
-        return invocation.fail(request.err_value)
-    made = await invocation.node.change(
-        "/keys/grant", request.ok_value, models.GrantedKey
-    )
+    made = await _change(invocation, "/keys/grant", models.GrantedKey)
     if isinstance(made, result.Err):
         return invocation.fail(made.err_value)
     granted = made.ok_value
@@ -46,12 +45,7 @@
 )
 async def withdraw(invocation: registry.Invocation) -> exit_codes.ExitCode:
     """Takes a key out of force, on open connections too."""
-    request = _request(invocation)
-    if isinstance(request, result.Err):
-        return invocation.fail(request.err_value)
-    made = await invocation.node.change(
-        "/keys/withdraw", request.ok_value, models.Change
-    )
+    made = await _change(invocation, "/keys/withdraw", models.Change)
     return configuration.report(invocation, made)
 
 
@@ -72,13 +66,15 @@
     return invocation.show(got.ok_value, table)
 
 
-def _request(
-    invocation: registry.Invocation,
-) -> result.Result[models.KeyRequest, clients.Failure]:
+async def _change(
+    invocation: registry.Invocation, path: str, answer: type[A]
+) -> result.Result[A, clients.Failure]:
     organisation, label = invocation.arguments
-    return requests.build(
+    return await requests.change(
+        invocation,
+        path,
         models.KeyRequest,
+        answer,
         organisation=organisation,
         label=label,
-        note=invocation.options.note,
     )
--- a/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/nodes.py
@@ -63,13 +63,12 @@
 async def forget(invocation: registry.Invocation) -> exit_codes.ExitCode:
     """Removes a lost node from the roster; its host must be gone for good."""
     (node_id,) = invocation.arguments
-    request = requests.build(
-        models.ForgetRequest, node_id=node_id, note=invocation.options.note
-    )
-    if isinstance(request, result.Err):
-        return invocation.fail(request.err_value)
-    made = await invocation.node.change(
-        "/nodes/forget", request.ok_value, models.Change
+    made = await requests.change(
+        invocation,
+        "/nodes/forget",
+        models.ForgetRequest,
+        models.Change,
+        node_id=node_id,
     )
     if isinstance(made, result.Err):
         return invocation.fail(made.err_value)
--- a/packages/sassafras-cli/src/sassafras_cli/commands/requests.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/requests.py
@@ -7,8 +7,10 @@
 
 from sassafras_cli import client as clients
 from sassafras_cli import exit_codes
+from sassafras_cli import registry
 from sassafras_wire.administration import models
 
+A = TypeVar("A", bound=models.Answer)
 R = TypeVar("R", bound=models.Request)
 
 
@@ -31,6 +33,20 @@
         return result.Err(usage("the arguments are not valid", faults))
 
 
+async def change(
+    invocation: registry.Invocation,
+    path: str,
+    model: type[R],
+    answer: type[A],
+    **content: object,
+) -> result.Result[A, clients.Failure]:
+    """Builds a request with the operator's note and makes the change."""
+    request = build(model, note=invocation.options.note, **content)
+    if isinstance(request, result.Err):
+        return request
+    return await invocation.node.change(path, request.ok_value, answer)
+
+
 def usage(
     problem: str, faults: tuple[models.FaultModel, ...] = ()
 ) -> clients.Failure:
--- a/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/targets.py
@@ -66,13 +66,12 @@
 async def start(invocation: registry.Invocation) -> exit_codes.ExitCode:
     """Gives a stopped target new work again."""
     (address,) = invocation.arguments
-    request = requests.build(
-        models.TargetRequest, address=address, note=invocation.options.note
-    )
-    if isinstance(request, result.Err):
-        return invocation.fail(request.err_value)
-    made = await invocation.node.change(
-        "/targets/start", request.ok_value, models.Change
+    made = await requests.change(
+        invocation,
+        "/targets/start",
+        models.TargetRequest,
+        models.Change,
+        address=address,
     )
     return configuration.report(invocation, made)
 
@@ -87,13 +86,12 @@
 async def stop(invocation: registry.Invocation) -> exit_codes.ExitCode:
     """Gives a target no more new work and waits until it has drained."""
     (address,) = invocation.arguments
-    request = requests.build(
-        models.TargetRequest, address=address, note=invocation.options.note
-    )
-    if isinstance(request, result.Err):
-        return invocation.fail(request.err_value)
-    made = await invocation.node.change(
-        "/targets/stop", request.ok_value, models.Change
+    made = await requests.change(
+        invocation,
+        "/targets/stop",
+        models.TargetRequest,
+        models.Change,
+        address=address,
     )
     if isinstance(made, result.Err):
         return invocation.fail(made.err_value)
