State the fields of a heartbeat once for both of its sides

Cause: the heartbeat and its answer listed the same four fields. Change: a common base; the encoded messages stay as they were, which the golden peer session shows.

--- a/packages/sassafras-wire/src/sassafras_wire/peer/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/models.py
@@ -226,26 +226,27 @@
     roster_epoch: int = 0
 
 
-@message_types.register("heartbeat")
-class Heartbeat(Message):
-    """Says that the sender is alive and what changed since the last one."""
+class _NodeNews(Message):
+    """What both sides of a heartbeat tell each other."""
 
-    type: Literal["heartbeat"] = "heartbeat"
     node_id: str
     config_revision: int
     roster_epoch: int = 0
     changes: list[NodeRecordModel] = []
 
 
+@message_types.register("heartbeat")
+class Heartbeat(_NodeNews):
+    """Says that the sender is alive and what changed since the last one."""
+
+    type: Literal["heartbeat"] = "heartbeat"
+
+
 @message_types.register("heartbeat_ack")
-class HeartbeatAck(Message):
+class HeartbeatAck(_NodeNews):
     """Answers a heartbeat with the same contents from the other side."""
 
     type: Literal["heartbeat_ack"] = "heartbeat_ack"
-    node_id: str
-    config_revision: int
-    roster_epoch: int = 0
-    changes: list[NodeRecordModel] = []
 
 
 @message_types.register("document_fetch")
