--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools wheel
 	$(BIN)/python -m pip install --quiet -c constraints.txt --no-build-isolation \
+	  -e platform \
 	  $(foreach p,$(PACKAGES),-e packages/sassafras-$(p)) \
 	  pytest hypothesis ruff mypy
 	touch $@
--- a/packages/sassafras-base/src/sassafras_base/events.py
+++ b/packages/sassafras-base/src/sassafras_base/events.py
@@ -9,12 +9,14 @@
 import dataclasses
 import functools
 import inspect
+import json
 import logging
 import sys
 from typing import ParamSpec
 
 import loguru
 
+from sassafras_base import line_writer
 from sassafras_base import registry
 
 P = ParamSpec("P")
@@ -59,13 +61,45 @@
         @functools.wraps(message)
         def write(*args: P.args, **kwargs: P.kwargs) -> None:
             text = message(*args, **kwargs)
-            loguru.logger.log(level, "E{:04d} {}", number, text)
+            bound = loguru.logger.bind(
+                event=event, values=(*args, *kwargs.values())
+            )
+            bound.log(level, "E{:04d} {}", number, text)
 
         return write
 
     return decorate
 
 
+def configure_json(writer: line_writer.LineWriter, level: str) -> None:
+    """Sends one JSON object for each event of at least `level` to a writer.
+
+    An object has the time in seconds, the level, the event's number and name,
+    and the event's fields. Positional arguments are in the order of the fields.
+    """
+    logging.getLogger("websockets").setLevel(logging.ERROR)
+    loguru.logger.remove()
+
+    def write(message: "loguru.Message") -> None:
+        record = message.record
+        event: LogEvent | None = record["extra"].get("event")
+        line: dict[str, object] = {
+            "time": round(record["time"].timestamp(), 3),
+            "level": record["level"].name,
+        }
+        if event is None:
+            line["text"] = record["message"]
+        else:
+            line["event"] = event.number
+            line["name"] = event.name
+            line |= zip(event.fields, record["extra"]["values"], strict=False)
+        writer.write(json.dumps(line))
+
+    loguru.logger.add(
+        write, level=level, format="", backtrace=False, diagnose=False
+    )
+
+
 def configure(level: str = "INFO") -> None:
     """Sends log lines of at least `level` to standard error."""
     # Libraries that log through `logging` would repeat what numbered events
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/drain.py
@@ -0,0 +1,44 @@
+"""Work in flight, and the planned stop that waits for it."""
+
+import dataclasses
+
+import trio
+
+
+@dataclasses.dataclass(slots=True)
+class Drain:
+    """Counts work in flight and says whether the node is stopping.
+
+    Attributes:
+      requested: Set when a planned stop begins.
+      in_flight: Requests and peer calls that are being served.
+      idle: Set while nothing is in flight.
+    """
+
+    requested: trio.Event
+    in_flight: int
+    idle: trio.Event
+
+    def enter(self) -> None:
+        """Counts one more piece of work."""
+        self.in_flight += 1
+        if self.in_flight == 1:
+            self.idle = trio.Event()
+
+    def leave(self) -> None:
+        """Counts one piece of work less."""
+        self.in_flight -= 1
+        if self.in_flight == 0:
+            self.idle.set()
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.requested.is_set()
+
+
+def make_drain() -> Drain:
+    """Returns a drain with nothing in flight."""
+    idle = trio.Event()
+    idle.set()
+    return Drain(trio.Event(), 0, idle)
--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Protocol
 
 import trio
 
-from sassafras_node import runtime as runtimes
+from sassafras_node import drain as drains
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import server as http_server
@@ -16,6 +17,26 @@
     503: outcomes.Reason.MEMORY,
 }
 
+
+class Host(Protocol):
+    """What a session needs of the node that it runs in."""
+
+    @property
+    def http_limits(self) -> http_server.ServerLimits:
+        """Bounds on requests."""
+        ...
+
+    @property
+    def body_budget(self) -> http_server.BodyBudget:
+        """Bytes of request bodies held by all connections."""
+        ...
+
+    @property
+    def drain(self) -> drains.Drain:
+        """Work in flight and planned stop."""
+        ...
+
+
 RefusalForm = Callable[[http_server.RequestRefusedError], messages.Answer]
 
 
@@ -31,11 +52,12 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime,
+    runtime: Host,
     stream: trio.SocketStream,
     peer: str,
     handler: Handler,
     refusal_form: RefusalForm = refusal_as_text,
+    answer_form: http_server.AnswerForm = http_server.standard_form,
 ) -> None:
     """Answers the requests of a connection, one after another.
 
@@ -43,7 +65,7 @@
     stop waits for a request that is still arriving.
     """
     connection = http_server.ServerConnection(
-        stream, peer, runtime.http_limits, runtime.body_budget
+        stream, peer, runtime.http_limits, runtime.body_budget, answer_form
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(connection.run_reader)
@@ -58,7 +80,7 @@
 
 
 async def _serve_next(
-    runtime: runtimes.Runtime,
+    runtime: Host,
     connection: http_server.ServerConnection,
     handler: Handler,
 ) -> bool:
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers and of the target beside the node."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
@@ -0,0 +1,25 @@
+"""The life of one connection from a caller or from the target."""
+
+import trio
+
+from sassafras_node import http_session
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.calls import entry
+from sassafras_policy.calls import messages
+
+
+async def serve(
+    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+) -> None:
+    """Serves requests until the caller disconnects."""
+
+    async def handle(request: messages.Request) -> messages.Answer:
+        return await entry.serve(runtime, request)
+
+    await http_session.serve(
+        runtime,
+        stream,
+        peer,
+        handle,
+        answer_form=runtime.platform.front_end.answer_form,
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/supervisor.py
@@ -0,0 +1,57 @@
+"""Supervisor of the listeners for callers and for readiness.
+
+Children: an accept loop and the sessions for each. One that fails is restarted
+alone; running sessions go on.
+"""
+
+import functools
+
+from sassafras_base import supervision
+from sassafras_node import listening
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.callers import readiness
+from sassafras_node.mesh.callers import session
+
+
+async def run(
+    callers: listening.Listener,
+    checks: listening.Listener,
+    metrics: listening.Listener,
+) -> None:
+    """Runs the children until cancelled."""
+    await supervision.Supervisor("mesh/callers").run(
+        [
+            child
+            for listener in (callers, checks, metrics)
+            for child in (
+                supervision.Child(
+                    f"{listener.name}-sessions", listener.run_sessions
+                ),
+                supervision.Child(listener.name, listener.accept),
+            )
+        ]
+    )
+
+
+def make_listeners(
+    runtime: runtimes.Runtime,
+) -> tuple[listening.Listener, listening.Listener, listening.Listener]:
+    """Returns the listeners for callers, for readiness and for metrics."""
+    host = runtime.settings.host
+    return (
+        listening.Listener(
+            "caller",
+            host.caller_address,
+            functools.partial(session.serve, runtime),
+        ),
+        listening.Listener(
+            "readiness",
+            host.ready_address,
+            functools.partial(readiness.serve, runtime),
+        ),
+        listening.Listener(
+            "metrics",
+            host.metrics_address,
+            functools.partial(readiness.serve, runtime),
+        ),
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a call; called by sessions."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/decisions.py
@@ -0,0 +1,65 @@
+"""The log line and the counts of one finished request."""
+
+from sassafras_base import events
+from sassafras_node.mesh import interfaces
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.calls import dispatch
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.mesh import calls
+
+
+@events.declare(820, "INFO")
+def request_ended(
+    request_id: str,
+    route: str,
+    service: str,
+    organisation: str,
+    outcome: str,
+    reason: str,
+    status: int,
+    elapsed_ms: int,
+    nodes: str,
+    sends: int,
+    version: int,
+    confirmed_ms: int,
+) -> str:
+    """A request of a caller or of the target beside the node has ended.
+
+    `nodes` are the nodes that it was sent to, in order. `version` is the
+    configuration in force and `confirmed_ms` the age of the proof that it is
+    the newest.
+    """
+    return f"request {request_id} ended {outcome} {reason} {status}"
+
+
+def record(
+    runtime: runtimes.Runtime,
+    entry: interfaces.EntryRequest,
+    call: calls.Call | None,
+    trail: dispatch.Trail,
+    answer: messages.Answer,
+    started: float,
+) -> None:
+    """Logs and counts how a request ended."""
+    elapsed_s = runtime.clock.now() - started
+    runtime.measurements.count(
+        "requests", str(answer.reason or answer.outcome)
+    )
+    if call is not None and answer.outcome is outcomes.Outcome.RAN:
+        runtime.measurements.observe(call.service, elapsed_s)
+    age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
+    request_ended(
+        entry.request_id,
+        call.route.name if call and call.route else "",
+        call.service if call else "",
+        call.organisation if call else "",
+        str(answer.outcome),
+        str(answer.reason),
+        answer.status,
+        int(elapsed_s * 1000),
+        ",".join(trail.tried),
+        trail.sends,
+        runtime.version,
+        int(min(age_s, 1e6) * 1000),
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -0,0 +1,157 @@
+"""Admits a request at the first node and gives it what it needs on its way."""
+
+import dataclasses
+
+from sassafras_base import hashing
+from sassafras_node.mesh import interfaces
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.calls import decisions
+from sassafras_node.mesh.calls import dispatch
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.mesh import calls
+from sassafras_policy.mesh import configuration
+
+# For callers that do not say how long they wait.
+_DEFAULT_PATIENCE_S = 30.0
+# The answer at the time-out leaves this long before the caller or the
+# operator expects it, so that it arrives in time.
+_ANSWER_MARGIN_S = 0.02
+# Refusals are told to come back after this time, drawn anew for each, so that
+# callers do not come back together.
+_COME_BACK_MS = 300
+_COME_BACK_SPREAD_MS = 700
+
+
+async def serve(
+    runtime: runtimes.Runtime, request: messages.Request
+) -> messages.Answer:
+    """Serves a request of a caller or of the target beside the node."""
+    started = runtime.clock.now()
+    entry = runtime.platform.front_end.read_request(request)
+    trail = dispatch.Trail()
+    admitted = await _admit(runtime, entry, started)
+    if isinstance(admitted, messages.Answer):
+        answer = admitted
+        call = None
+    else:
+        call = admitted
+        answer = await dispatch.dispatch(runtime, call, trail)
+        if call.context.depth and answer.status >= 500:
+            runtime.sub_call_failed_at = runtime.clock.now()
+    answer = _with_come_back(runtime, answer)
+    decisions.record(runtime, entry, call, trail, answer, started)
+    return answer
+
+
+async def _admit(
+    runtime: runtimes.Runtime,
+    entry: interfaces.EntryRequest,
+    now: float,
+) -> calls.Call | messages.Answer:
+    """Returns the call, or the refusal of the request."""
+    table = runtime.routing
+    if table is None:
+        return messages.refusal(
+            outcomes.Reason.NO_CONFIGURATION,
+            503,
+            "the node has no configuration yet",
+            retry_after_ms=messages.RETRY_AFTER_MS,
+        )
+    route = table.find(entry.host, entry.request.path)
+    if route is None:
+        return _unless_outdated(runtime, outcomes.Reason.NO_ROUTE, 404)
+    organisation: configuration.Organisation | None = None
+    if table.source.organisations and not route.is_open:
+        if not runtime.freshness.permits_keys(runtime.clock.now_with_suspend()):
+            return _outdated()
+        if entry.key is not None:
+            organisation = table.organisation_of(entry.key)
+        if organisation is None:
+            return _unless_outdated(
+                runtime, outcomes.Reason.UNAUTHENTICATED, 401
+            )
+        refusal = await _take_token(runtime, organisation)
+        if refusal is not None:
+            return refusal
+    return _make_call(runtime, entry, route, organisation, now)
+
+
+async def _take_token(
+    runtime: runtimes.Runtime, organisation: configuration.Organisation
+) -> messages.Answer | None:
+    if organisation.account.rate_per_s <= 0:
+        return None
+    due_s = await runtime.limit_gate.admit(organisation.account.name)
+    if due_s is None:
+        return None
+    return messages.refusal(
+        outcomes.Reason.ORGANISATION_LIMIT,
+        429,
+        "the organisation's rate is used up",
+        retry_after_ms=max(1, int(due_s * 1000)),
+    )
+
+
+def _make_call(
+    runtime: runtimes.Runtime,
+    entry: interfaces.EntryRequest,
+    route: configuration.Route,
+    organisation: configuration.Organisation | None,
+    now: float,
+) -> calls.Call:
+    assert runtime.routing is not None
+    patience_s = entry.patience_s or _DEFAULT_PATIENCE_S
+    if route.timeout_s:
+        patience_s = min(patience_s, route.timeout_s)
+    priority = route.priority
+    if organisation is not None and organisation.priority is not None:
+        priority = organisation.priority
+    name = organisation.account.name if organisation else ""
+    bucket = hashing.stable_hash(entry.request_id) % messages.BUCKET_COUNT
+    return calls.Call(
+        request=entry.request,
+        request_id=entry.request_id,
+        caller_service=runtime.settings.host.target_service,
+        organisation=name,
+        service=runtime.routing.service_for(route),
+        context=messages.CallContext(
+            root_id=entry.request_id,
+            organisation=name,
+            priority=priority,
+            bucket=bucket,
+            deadline=now + patience_s - _ANSWER_MARGIN_S,
+            # Only targets make calls on open routes of their own.
+            depth=int(organisation is None),
+            at_most_once=not route.is_idempotent,
+        ),
+        is_idempotent=route.is_idempotent,
+        route=route,
+    )
+
+
+def _unless_outdated(
+    runtime: runtimes.Runtime, reason: outcomes.Reason, status: int
+) -> messages.Answer:
+    """Refuses for good only what the newest configuration does not allow."""
+    if not runtime.freshness.permits_keys(runtime.clock.now_with_suspend()):
+        return _outdated()
+    return messages.refusal(reason, status, str(reason))
+
+
+def _outdated() -> messages.Answer:
+    return messages.refusal(
+        outcomes.Reason.NO_CONFIGURATION,
+        503,
+        "the configuration may be outdated; the store is not reached",
+        retry_after_ms=messages.RETRY_AFTER_MS,
+    )
+
+
+def _with_come_back(
+    runtime: runtimes.Runtime, answer: messages.Answer
+) -> messages.Answer:
+    if answer.status != 503 or answer.outcome is outcomes.Outcome.RAN:
+        return answer
+    span_ms = _COME_BACK_MS + runtime.rng.random() * _COME_BACK_SPREAD_MS
+    return dataclasses.replace(answer, retry_after_ms=int(span_ms))
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -0,0 +1,134 @@
+"""Serves a call at the target beside the node."""
+
+import dataclasses
+
+import trio
+
+from sassafras_base import errors
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.targets import gate as gates
+from sassafras_policy.admission import levels
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import progress as progresses
+from sassafras_policy.mesh import calls
+from sassafras_wire.http import fields
+
+_NO_FIELDS: frozenset[str] = frozenset()
+
+
+async def serve(
+    runtime: runtimes.Runtime,
+    call: calls.Call,
+    target_id: str,
+    progress: progresses.Progress,
+) -> messages.Answer:
+    """Admits a call, hands it to the target and returns the whole answer.
+
+    Args:
+      runtime: The node.
+      call: The call.
+      target_id: The target that the first node chose; a target that has come
+        in its place does not get the call.
+      progress: Is told when the first byte has been handed over.
+    """
+    target = runtime.target
+    known = target.announcement
+    if (
+        known is None
+        or not target.is_serving
+        or known.service != call.service
+        or known.target_id != target_id
+    ):
+        return messages.refusal(
+            outcomes.Reason.LEAVING, 503, "the target takes no calls"
+        )
+    gate = target.gate
+    verdict = await gate.enter(call.context)
+    if verdict is gates.Verdict.ADMITTED:
+        answer = await _exchange(runtime, call, target_id, gate, progress)
+    elif verdict is gates.Verdict.LATE:
+        answer = messages.refusal(
+            outcomes.Reason.DEADLINE, 503, "the deadline passed in the queue"
+        )
+    else:
+        answer = messages.refusal(
+            outcomes.Reason.OVERLOAD,
+            503,
+            f"the target of service {call.service} has no room",
+            retry_after_ms=levels.retry_after_ms(call.context.rank, gate.level),
+        )
+    return dataclasses.replace(answer, load=gate.load)
+
+
+async def _exchange(
+    runtime: runtimes.Runtime,
+    call: calls.Call,
+    target_id: str,
+    gate: gates.Gate,
+    progress: progresses.Progress,
+) -> messages.Answer:
+    front_end = runtime.platform.front_end
+    started = runtime.clock.now()
+    answered = False
+    try:
+        response = await runtime.target.pool.exchange(
+            front_end.target_request(
+                call, target_id, call.context.deadline - started
+            ),
+            progress,
+            lambda response: front_end.belongs(call, response),
+        )
+        said = front_end.read_target_answer(response)
+        if not said.ran:
+            progress.may_have_run = False
+            return messages.refusal(
+                outcomes.Reason.TURNED_AWAY, 503, "the target turned it away"
+            )
+        if not said.is_whole:
+            return messages.unknown(
+                outcomes.Reason.TARGET_PROTOCOL,
+                502,
+                "the answer is not the target's own",
+            )
+        answered = response.status < 500
+        return messages.Answer(
+            outcome=outcomes.Outcome.RAN,
+            status=response.status,
+            headers=fields.end_to_end(response.headers, _NO_FIELDS),
+            body=response.body,
+            sub_call_failed=runtime.sub_call_failed_at >= started,
+        )
+    except errors.UnreachableError as error:
+        return messages.refusal(
+            outcomes.Reason.UNREACHABLE, 503, str(error)
+        )
+    except errors.ConnectionLostError as error:
+        return messages.unknown(
+            outcomes.Reason.CONNECTION_LOST, 502, str(error)
+        )
+    except errors.ProtocolError as error:
+        return messages.unknown(
+            outcomes.Reason.TARGET_PROTOCOL, 502, str(error)
+        )
+    finally:
+        if answered:
+            gate.leave(runtime.clock.now() - started, True)
+        else:
+            gate.leave_with_error()
+
+
+async def serve_within_deadline(
+    runtime: runtimes.Runtime, call: calls.Call, target_id: str
+) -> messages.Answer:
+    """Serves a call that another node has sent."""
+    progress = progresses.Progress()
+    with trio.move_on_after(call.context.deadline - runtime.clock.now()):
+        return await serve(runtime, call, target_id, progress)
+    if progress.may_have_run:
+        return messages.unknown(
+            outcomes.Reason.DEADLINE, 504, "the deadline passed"
+        )
+    return messages.refusal(
+        outcomes.Reason.DEADLINE, 503, "the deadline passed before it was sent"
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Control links and calls between nodes."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -0,0 +1,110 @@
+"""The life of the control link to one node: news and configurations."""
+
+import trio
+
+from sassafras_base import errors
+from sassafras_base import events
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import configuration
+from sassafras_policy.mesh import targets
+from sassafras_wire.mesh import link_messages
+from sassafras_wire.peer import link as links
+
+_CONNECT_TIMEOUT_S = 1.0
+# Often enough that a node that the store turns away learns of a withdrawn key
+# in time; costs two small messages for each pair of nodes.
+_PING_INTERVAL_S = 1.0
+_ANSWER_TIMEOUT_S = 1.5
+_FIRST_RETRY_S = 0.2
+_LONGEST_RETRY_S = 1.0
+
+
+@events.declare(832, "WARNING")
+def node_unreachable(node_id: str, error: str) -> str:
+    """The control link to a node is lost; its target gets no calls."""
+    return f"node {node_id} is not reached: {error}"
+
+
+@events.declare(833, "INFO")
+def node_reached(node_id: str) -> str:
+    """The control link to a node stands."""
+    return f"node {node_id} is reached"
+
+
+async def run(runtime: runtimes.Runtime, entry: targets.NodeEntry) -> None:
+    """Keeps a control link to a node until cancelled."""
+    retry_s = _FIRST_RETRY_S
+    reported = False
+    while True:
+        try:
+            async with trio.open_nursery() as nursery:
+                link = await links.connect(
+                    nursery, entry.link_address, _CONNECT_TIMEOUT_S
+                )
+                try:
+                    await _exchange(runtime, link)
+                    node_reached(entry.node_id)
+                    reported = False
+                    retry_s = _FIRST_RETRY_S
+                    await _exchange_forever(runtime, link)
+                finally:
+                    with trio.CancelScope(shield=True):
+                        await link.abort()
+                    nursery.cancel_scope.cancel()
+        except* (errors.SassafrasError, trio.TooSlowError) as group:
+            error = group.exceptions[0]
+            runtime.views.failed(entry.node_id)
+            if not reported:
+                node_unreachable(entry.node_id, str(error) or "silent")
+                reported = True
+        await trio.sleep(retry_s)
+        retry_s = min(_LONGEST_RETRY_S, retry_s * 2)
+
+
+async def _exchange_forever(
+    runtime: runtimes.Runtime, link: links.Link
+) -> None:
+    while True:
+        next_ping = trio.current_time() + _PING_INTERVAL_S
+        while (left_s := next_ping - trio.current_time()) > 0:
+            with trio.move_on_after(left_s):
+                message = await link.expect(link_messages.News)
+                _take(runtime, message, None)
+        await _exchange(runtime, link)
+
+
+async def _exchange(runtime: runtimes.Runtime, link: links.Link) -> None:
+    sent_at = runtime.clock.now_with_suspend()
+    number = link.next_call_id()
+    with trio.fail_after(_ANSWER_TIMEOUT_S):
+        await link.send(
+            link_messages.Ping(
+                number=number, configuration_version=runtime.version
+            )
+        )
+        message = await link.expect(link_messages.News)
+        while message.number != number:
+            _take(runtime, message, None)
+            message = await link.expect(link_messages.News)
+    _take(runtime, message, sent_at)
+
+
+def _take(
+    runtime: runtimes.Runtime,
+    message: link_messages.News,
+    sent_at: float | None,
+) -> None:
+    """Takes news over.
+
+    Args:
+      runtime: The node.
+      message: The news.
+      sent_at: When the ping was sent that they answer. News that came unasked
+        may have been under way for any time and prove no age.
+    """
+    entry = link_messages.to_entry(message.entry)
+    runtime.fleet.publish(entry)
+    if message.configuration:
+        configuration.offer(runtime, message.configuration, entry.node_id)
+    if sent_at is not None and message.configuration_version == runtime.version:
+        runtime.freshness.confirm(sent_at - message.confirmed_age_s)
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -0,0 +1,83 @@
+"""Supervisor of the control links and of the listeners for other nodes.
+
+Children: `calls` and `links` accept connections, `call-sessions` and
+`link-sessions` serve them, `roster` starts and stops one `link:NODE` for each
+node of the fleet. One that fails is restarted alone; the calls of sessions
+that run go on.
+"""
+
+import functools
+
+import trio
+
+from sassafras_base import supervision
+from sassafras_node import listening
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.peers import call_session
+from sassafras_node.mesh.peers import link
+from sassafras_node.mesh.peers import link_session
+
+# How soon a new node gets a link, and a node that is gone loses it.
+_ROSTER_INTERVAL_S = 0.25
+
+
+async def run(
+    runtime: runtimes.Runtime,
+    calls: listening.Listener,
+    links: listening.Listener,
+) -> None:
+    """Runs the children until cancelled."""
+    supervisor = supervision.Supervisor("mesh/peers")
+    await supervisor.run(
+        [
+            supervision.Child("call-sessions", calls.run_sessions),
+            supervision.Child("calls", calls.accept),
+            supervision.Child("link-sessions", links.run_sessions),
+            supervision.Child("links", links.accept),
+            supervision.Child(
+                "roster", functools.partial(_follow_fleet, runtime, supervisor)
+            ),
+        ]
+    )
+
+
+def make_listeners(
+    runtime: runtimes.Runtime,
+) -> tuple[listening.Listener, listening.Listener]:
+    """Returns the listeners for calls and for control links."""
+    host = runtime.settings.host
+    return (
+        listening.Listener(
+            "call",
+            host.call_address,
+            functools.partial(call_session.serve, runtime),
+        ),
+        listening.Listener(
+            "link",
+            host.link_address,
+            functools.partial(link_session.serve, runtime),
+        ),
+    )
+
+
+async def _follow_fleet(
+    runtime: runtimes.Runtime, supervisor: supervision.Supervisor
+) -> None:
+    """Keeps one link for each node, and forgets nodes that are gone."""
+    known = -1
+    while True:
+        for node_id in runtime.fleet.expire(runtime.clock.now_with_suspend()):
+            runtime.views.drop(node_id)
+        supervisor.keep_only(
+            "link:",
+            {
+                f"{entry.node_id}/{entry.incarnation}": functools.partial(
+                    link.run, runtime, entry
+                )
+                for entry in runtime.fleet.entries
+            },
+        )
+        if len(runtime.fleet) != known:
+            known = len(runtime.fleet)
+            runtime.configure_limiter()
+        await trio.sleep(_ROSTER_INTERVAL_S)
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -0,0 +1,189 @@
+"""The state of one mesh node; each part has the owner named here."""
+
+import math
+import random
+
+import trio
+
+from sassafras_base import clock as clocks
+from sassafras_node import drain as drains
+from sassafras_node.limits import gate as limit_gates
+from sassafras_node.mesh import interfaces
+from sassafras_node.mesh import measurements
+from sassafras_node.mesh import settings as mesh_settings
+from sassafras_node.mesh.peers import call_pools
+from sassafras_node.mesh.targets import beside
+from sassafras_node.peers import views
+from sassafras_policy.balancing import balancers
+from sassafras_policy.limits import limiters
+from sassafras_policy.membership import roster as rosters
+from sassafras_policy.mesh import configuration
+from sassafras_policy.mesh import fleet as fleets
+from sassafras_policy.mesh import freshness
+from sassafras_policy.mesh import routing
+from sassafras_policy.mesh import spending
+from sassafras_policy.mesh import targets
+from sassafras_wire.http import server as http_server
+
+# A live node writes its entry again within this time after an outage of the
+# store; the deployments count nodes as gone after 2 s.
+_ENTRY_RETURN_S = 2.5
+
+# Bodies of requests, as a part of the memory that the process may use. The
+# interpreter and its libraries take about 50 MB of it.
+_BODY_SHARE = 0.2
+
+
+class Runtime:
+    """What the tasks of one node share.
+
+    Attributes:
+      settings: The node's settings; replaced on reload.
+      platform: The adapter.
+      clock: Source of time.
+      routing: Index of the configuration in force; None before the first.
+      document: Encoded form of that configuration, for other nodes.
+      freshness: Age of the proof that it is the newest.
+      fleet: The other nodes; fed by the store and by control links.
+      target: The target beside the node; fed by its announcements.
+      views: Targets as seen from here; fed by answers.
+      balancer: Choice among targets.
+      spending: Further sends of this node to each service.
+      limiter: Rates of organisations.
+      limit_gate: Admission by the limiter.
+      call_pools: Connections for calls to other nodes.
+      drain: Work in flight and planned stop.
+      measurements: Counters and latencies.
+      sub_call_failed_at: When a call of the target beside last failed.
+      entry_changed: Set and replaced when this node's entry changes.
+      configuration_changed: Set and replaced with each new configuration.
+      http_limits: Bounds on requests.
+      body_budget: Bytes of request bodies held by all connections.
+    """
+
+    def __init__(
+        self,
+        settings: mesh_settings.MeshSettings,
+        platform: interfaces.Platform,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock
+        self.rng = rng
+        self.routing: routing.RoutingTable | None = None
+        self.document = b""
+        self.freshness = freshness.Freshness(settings.bounds.revocation_s)
+        self.fleet = fleets.Fleet(settings.host.node_id, _ENTRY_RETURN_S)
+        self.target = beside.TargetBeside(settings, clock)
+        self.views = views.PeerViews(clock)
+        factory = balancers.balancers.get(settings.policy.balancer)
+        self.balancer = factory(rng)  # type: ignore[call-arg]
+        self.spending = spending.Spending(
+            settings.bounds.retry_ratio,
+            settings.bounds.retry_extra,
+            settings.bounds.retry_window_s,
+        )
+        self.limiter = limiters.limiters.get(settings.policy.limiter)()
+        self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
+        self.call_pools = call_pools.CallPools()
+        self.drain = drains.make_drain()
+        self.measurements = measurements.Measurements()
+        self.entry_changed = trio.Event()
+        self.configuration_changed = trio.Event()
+        self.http_limits = http_server.ServerLimits()
+        self.body_budget = http_server.BodyBudget(
+            int(settings.resources.memory_bytes * _BODY_SHARE)
+        )
+        self.sub_call_failed_at = -math.inf
+        self._incarnation = int(clock.wall() * 1000)
+        self._situation: limiters.Situation | None = None
+
+    @property
+    def entry(self) -> targets.NodeEntry:
+        """What this node publishes of itself."""
+        host = self.settings.host
+        return targets.NodeEntry(
+            node_id=host.node_id,
+            incarnation=self._incarnation,
+            availability_zone=host.availability_zone,
+            call_address=host.call_address,
+            link_address=host.link_address,
+            is_leaving=self.drain.is_draining,
+            target=self.target.announcement,
+        )
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return self.routing.source.version if self.routing else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers of this host should send new work."""
+        if self.drain.is_draining or self.routing is None:
+            return False
+        if not self.routing.source.organisations:
+            return True
+        return self.freshness.permits_keys(self.clock.now_with_suspend())
+
+    def apply(
+        self, document: bytes, decoded: configuration.Configuration
+    ) -> bool:
+        """Puts a configuration in force unless it is older.
+
+        Returns:
+          Whether it is newer than the one that was in force.
+        """
+        if decoded.version <= self.version:
+            return False
+        self.routing = routing.RoutingTable(decoded, self.routing)
+        self.document = document
+        limits = decoded.limits
+        self.http_limits = http_server.ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            request_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        self.target.set_class_count(_class_count(decoded))
+        self.configure_limiter()
+        changed, self.configuration_changed = (
+            self.configuration_changed,
+            trio.Event(),
+        )
+        changed.set()
+        return True
+
+    def configure_limiter(self) -> None:
+        """Divides the rates of organisations among the known nodes."""
+        if self.routing is None:
+            return
+        situation = limiters.Situation(
+            organisations=tuple(
+                organisation.account
+                for organisation in self.routing.source.organisations
+                if organisation.account.rate_per_s > 0
+            ),
+            own_id=self.settings.host.node_id,
+            hosts=len(self.fleet) + 1,
+            roster=rosters.Roster(),
+            settled=True,
+        )
+        if situation != self._situation:
+            self._situation = situation
+            self.limiter.configure(situation, self.clock.now_with_suspend())
+        self.spending.set_nodes(situation.hosts)
+
+    def publish_entry(self) -> None:
+        """Wakes the tasks that tell others about this node."""
+        changed, self.entry_changed = self.entry_changed, trio.Event()
+        changed.set()
+
+
+def _class_count(source: configuration.Configuration) -> int:
+    """Returns how many ranks routes and organisations use."""
+    ranks = [route.priority for route in source.routes]
+    ranks += [o.priority for o in source.organisations if o.priority is not None]
+    return max(ranks, default=0) + 1
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/settings.py
@@ -0,0 +1,96 @@
+"""Settings of a mesh node, independent of where they come from."""
+
+import dataclasses
+
+from sassafras_wire.settings import node as node_settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Where the node runs and listens.
+
+    Attributes:
+      node_id: Name of the node; the same after a restart.
+      availability_zone: Where it runs.
+      caller_address: Where callers and the target beside it send requests.
+      ready_address: Where readiness is asked for.
+      announcement_address: Where the target beside the node announces itself.
+      call_address: Where other nodes send calls.
+      link_address: Where other nodes open control links.
+      metrics_address: Where metrics are served.
+      target_address: Where the target beside the node is reached.
+      target_service: Service of the target beside the node.
+    """
+
+    node_id: str
+    availability_zone: str
+    caller_address: str
+    ready_address: str
+    announcement_address: str
+    call_address: str
+    link_address: str
+    metrics_address: str
+    target_address: str
+    target_service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The key-value service.
+
+    Attributes:
+      address: `host:port`.
+      smallest_lease_s: Shortest lifetime of a lease.
+    """
+
+    address: str
+    smallest_lease_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time spans and amounts that the deployment promises.
+
+    Attributes:
+      apply_s: An accepted configuration is in force within this time.
+      revocation_s: A withdrawn key works no longer than this.
+      drain_s: A leaving target gets no request later than this.
+      grace_s: Time between the request to stop and the kill.
+      announcement_s: Usual time between two announcements of a target.
+      retry_ratio: Further sends to targets, as a part of the requests.
+      retry_window_s: The window in which sends are compared.
+      retry_extra: Further sends allowed in each window besides.
+    """
+
+    apply_s: float
+    revocation_s: float
+    drain_s: float
+    grace_s: float
+    announcement_s: float
+    retry_ratio: float
+    retry_window_s: float
+    retry_extra: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """What the host gives the process.
+
+    Attributes:
+      memory_bytes: Memory after which the process is killed.
+      descriptors: Sockets that it may open.
+    """
+
+    memory_bytes: int
+    descriptors: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """All settings of a mesh node."""
+
+    host: HostSettings
+    store: StoreSettings
+    bounds: Bounds
+    resources: Resources
+    policy: node_settings.PolicySection
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that keep the node and the key-value store in agreement."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -0,0 +1,79 @@
+"""Follows the entries of the other nodes in the store."""
+
+import trio
+
+from sassafras_base import events
+from sassafras_node.mesh import interfaces
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import configuration
+from sassafras_node.mesh.store import entries
+from sassafras_wire.store import client as store_client
+
+# A watch waits this long; a change ends the wait at once.
+_WAIT_S = 20.0
+# Changes come in bursts, as when all nodes start; one call then gets several.
+_GATHER_S = 0.2
+_RETRY_S = 0.5
+
+
+@events.declare(846, "WARNING")
+def entry_unreadable(key: str) -> str:
+    """An entry in the store cannot be read; the node is left out."""
+    return f"entry {key} cannot be read"
+
+
+@events.declare(847, "INFO")
+def node_entry_lapsed(node_id: str) -> str:
+    """The store has no entry of a node any more."""
+    return f"entry of {node_id} has lapsed"
+
+
+async def run(runtime: runtimes.Runtime) -> None:
+    """Follows the entries until cancelled."""
+    is_lost = False
+    while True:
+        try:
+            revision = await _read_all(runtime)
+            if is_lost:
+                configuration.store_regained("members")
+                is_lost = False
+            while True:
+                listing = await runtime.platform.store.changes(
+                    entries.PREFIX, revision, _WAIT_S
+                )
+                for item in listing.items:
+                    _take(runtime, item)
+                revision = listing.revision
+                await trio.sleep(_GATHER_S)
+        except interfaces.HistoryLostError:
+            # All entries are read instead of the changes.
+            continue
+        except store_client.StoreUnavailableError as error:
+            if not is_lost:
+                configuration.store_lost("members", str(error))
+                is_lost = True
+            await trio.sleep(_RETRY_S)
+
+
+async def _read_all(runtime: runtimes.Runtime) -> int:
+    listing = await runtime.platform.store.get_prefix(entries.PREFIX)
+    for item in listing.items:
+        _take(runtime, item)
+    runtime.fleet.keep_only(
+        {entries.node_of(item.key) for item in listing.items},
+        runtime.clock.now_with_suspend(),
+    )
+    return listing.revision
+
+
+def _take(runtime: runtimes.Runtime, item: interfaces.Item) -> None:
+    if item.value is None:
+        node_id = entries.node_of(item.key)
+        node_entry_lapsed(node_id)
+        runtime.fleet.lapse(node_id, runtime.clock.now_with_suspend())
+        return
+    entry = entries.decode(item.value)
+    if entry is None:
+        entry_unreadable(item.key)
+    else:
+        runtime.fleet.publish(entry)
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/supervisor.py
@@ -0,0 +1,30 @@
+"""Supervisor of the tasks that talk to the store.
+
+Children: `configuration`, `entry` and `members`. One that fails is restarted
+alone.
+"""
+
+import functools
+
+from sassafras_base import supervision
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import configuration
+from sassafras_node.mesh.store import members
+from sassafras_node.mesh.store import own_entry
+
+
+async def run(runtime: runtimes.Runtime) -> None:
+    """Runs the children until cancelled."""
+    await supervision.Supervisor("mesh/store").run(
+        [
+            supervision.Child(
+                "configuration", functools.partial(configuration.run, runtime)
+            ),
+            supervision.Child(
+                "entry", functools.partial(own_entry.run, runtime)
+            ),
+            supervision.Child(
+                "members", functools.partial(members.run, runtime)
+            ),
+        ]
+    )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -0,0 +1,102 @@
+"""The root of the supervisor tree of a mesh node.
+
+Children: `store`, `peers`, `targets` and `callers`, each a supervisor of its
+own, and `log`. One that gives up is restarted here; when that happens too often
+the root gives up and the process exits with an error.
+"""
+
+import functools
+
+import trio
+
+from sassafras_base import events
+from sassafras_base import supervision
+from sassafras_node import listening
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.callers import supervisor as callers
+from sassafras_node.mesh.peers import supervisor as peers
+from sassafras_node.mesh.store import own_entry
+from sassafras_node.mesh.store import supervisor as store
+from sassafras_node.mesh.targets import supervisor as targets
+
+# Callers of this host are sent elsewhere once readiness has been missed twice,
+# at one question a second; until then their requests are still served.
+_READINESS_NOTICE_S = 2.4
+# Kept back from the time until the kill, for the entry and the last lines.
+_EXIT_MARGIN_S = 0.7
+
+
+@events.declare(801, "INFO")
+def mesh_node_serving(node_id: str, callers_at: str, service: str) -> str:
+    """The node has bound its addresses and serves."""
+    return f"node {node_id} serves callers at {callers_at}"
+
+
+@events.declare(802, "INFO")
+def mesh_node_leaving(in_flight: int) -> str:
+    """A planned stop has begun; requests in flight are finished first."""
+    return f"leaving with {in_flight} requests in flight"
+
+
+@events.declare(803, "INFO")
+def mesh_node_stopped(in_flight: int) -> str:
+    """The node has stopped."""
+    return f"stopped with {in_flight} requests in flight"
+
+
+async def run(runtime: runtimes.Runtime) -> None:
+    """Runs a node until `runtime.drain.requested` is set and work is done."""
+    caller_listeners = callers.make_listeners(runtime)
+    target_listener = targets.make_listener(runtime)
+    call_listener, link_listener = peers.make_listeners(runtime)
+    listeners = [
+        *caller_listeners,
+        target_listener,
+        call_listener,
+        link_listener,
+    ]
+    for listener in listeners:
+        await listener.bind()
+    root = supervision.Supervisor("mesh")
+    children = {
+        "store": functools.partial(store.run, runtime),
+        "peers": functools.partial(
+            peers.run, runtime, call_listener, link_listener
+        ),
+        "targets": functools.partial(targets.run, target_listener),
+        "callers": functools.partial(callers.run, *caller_listeners),
+    }
+    try:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                root.run,
+                [supervision.Child(name, run) for name, run in children.items()],
+            )
+            host = runtime.settings.host
+            mesh_node_serving(
+                host.node_id, host.caller_address, host.target_service
+            )
+            await runtime.drain.requested.wait()
+            await _leave(runtime, [caller_listeners[0], call_listener])
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.CancelScope(shield=True):
+            for listener in listeners:
+                await listener.close()
+
+
+async def _leave(
+    runtime: runtimes.Runtime, listeners: list[listening.Listener]
+) -> None:
+    """Finishes what is in flight within the time before the kill."""
+    mesh_node_leaving(runtime.drain.in_flight)
+    left_s = runtime.settings.bounds.grace_s - _EXIT_MARGIN_S
+    with trio.move_on_after(left_s):
+        runtime.publish_entry()
+        await trio.sleep(_READINESS_NOTICE_S)
+        for listener in listeners:
+            await listener.close()
+        await runtime.drain.idle.wait()
+    with trio.move_on_after(_EXIT_MARGIN_S / 2):
+        await own_entry.withdraw(runtime)
+    mesh_node_stopped(runtime.drain.in_flight)
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The target beside the node."""
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
@@ -0,0 +1,90 @@
+"""The life of one connection from the target to its announcement address."""
+
+import trio
+
+from sassafras_base import errors
+from sassafras_base import events
+from sassafras_node import http_session
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.mesh import targets
+
+
+@events.declare(810, "INFO")
+def target_announced(
+    target_id: str, service: str, state: str, capacity: int, sequence: int
+) -> str:
+    """The target beside the node has a new state."""
+    return (
+        f"target {target_id} of {service} is {state}, capacity {capacity},"
+        f" announcement {sequence}"
+    )
+
+
+@events.declare(811, "INFO")
+def announcement_outdated(target_id: str, sequence: int) -> str:
+    """An announcement arrived late and changed nothing."""
+    return f"announcement {sequence} of target {target_id} is outdated"
+
+
+@events.declare(812, "WARNING")
+def announcement_refused(peer: str, error: str) -> str:
+    """An announcement names no target that could be used."""
+    return f"announcement from {peer} refused: {error}"
+
+
+async def serve(
+    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+) -> None:
+    """Takes announcements until the target disconnects."""
+
+    async def handle(request: messages.Request) -> messages.Answer:
+        return await _handle(runtime, request, peer)
+
+    await http_session.serve(
+        runtime,
+        stream,
+        peer,
+        handle,
+        answer_form=runtime.platform.front_end.answer_form,
+    )
+
+
+async def _handle(
+    runtime: runtimes.Runtime, request: messages.Request, peer: str
+) -> messages.Answer:
+    try:
+        call = runtime.platform.codecs.read_announcement(request)
+    except errors.InvalidInputError as error:
+        announcement_refused(peer, str(error))
+        return messages.refusal(outcomes.Reason.BAD_REQUEST, 400, str(error))
+    if call is None:
+        return messages.refusal(
+            outcomes.Reason.NO_ROUTE, 404, "no such call for targets"
+        )
+    if call.announcement is None:
+        if runtime.target.leave(call.target_id):
+            target_announced(
+                call.target_id, "", str(targets.State.GONE), 0, 0
+            )
+            runtime.publish_entry()
+        return runtime.platform.codecs.acknowledgement()
+    await _take(runtime, call.announcement)
+    return runtime.platform.codecs.acknowledgement()
+
+
+async def _take(
+    runtime: runtimes.Runtime, announcement: targets.Announcement
+) -> None:
+    if await runtime.target.announce(announcement):
+        target_announced(
+            announcement.target_id,
+            announcement.service,
+            str(announcement.state),
+            announcement.capacity,
+            announcement.sequence,
+        )
+        runtime.publish_entry()
+    elif runtime.target.announcement != announcement:
+        announcement_outdated(announcement.target_id, announcement.sequence)
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/beside.py
@@ -0,0 +1,97 @@
+"""What the node knows of the target beside it."""
+
+from sassafras_base import clock as clocks
+from sassafras_node.mesh import settings as mesh_settings
+from sassafras_node.targets import gate as gates
+from sassafras_policy.admission import policies
+from sassafras_policy.mesh import targets
+from sassafras_wire.http import pool
+
+_CONNECT_TIMEOUT_S = 1.0
+_STEP = "target.call"
+_BODY_LIMIT = 64 * 1024 * 1024
+# Announcements that stay away for this many of their usual intervals show
+# that the target has ended without a word. One may be seconds late.
+_SILENT_INTERVALS = 6.0
+
+
+class TargetBeside:
+    """The target's announcement in force, its connections and its admission.
+
+    Attributes:
+      gate: Lets calls in.
+      pool: Connections to the target.
+    """
+
+    def __init__(
+        self, settings: mesh_settings.MeshSettings, clock: clocks.Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._register = targets.BesideRegister()
+        self._heard_at = 0.0
+        self._class_count = 1
+        self.gate = self._new_gate(1)
+        self.pool = self._new_pool()
+
+    @property
+    def announcement(self) -> targets.Announcement | None:
+        """The announcement in force, or None."""
+        return self._register.current
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the target takes new calls."""
+        current = self._register.current
+        return (
+            current is not None
+            and current.state is targets.State.READY
+            and self._clock.now() - self._heard_at
+            < _SILENT_INTERVALS * self._settings.bounds.announcement_s
+        )
+
+    def set_class_count(self, class_count: int) -> None:
+        """Takes over the number of ranks of a new configuration."""
+        if class_count != self._class_count:
+            self._class_count = class_count
+            current = self._register.current
+            self.gate.resize(current.capacity if current else 1, class_count)
+
+    async def announce(self, announcement: targets.Announcement) -> bool:
+        """Takes an announcement; returns whether others should hear of it."""
+        known = self._register.current
+        if not self._register.offer(announcement):
+            return False
+        self._heard_at = self._clock.now()
+        if known is None or known.target_id != announcement.target_id or (
+            known.started_ms != announcement.started_ms
+        ):
+            await self.pool.close()
+            self.pool = self._new_pool()
+            self.gate = self._new_gate(announcement.capacity)
+            return True
+        if known.capacity != announcement.capacity:
+            self.gate.resize(announcement.capacity, self._class_count)
+        return (known.state, known.capacity) != (
+            announcement.state,
+            announcement.capacity,
+        )
+
+    def leave(self, target_id: str) -> bool:
+        """Marks the target as gone; returns whether it was the current one."""
+        return self._register.leave(target_id)
+
+    def _new_gate(self, slots: int) -> gates.Gate:
+        name = self._settings.policy.admission
+        factory = policies.admission_policies.get(name)
+        policy = factory(slots, self._class_count)  # type: ignore[call-arg]
+        return gates.Gate(policy, self._clock)
+
+    def _new_pool(self) -> pool.ConnectionPool:
+        return pool.ConnectionPool(
+            self._settings.host.target_address,
+            _STEP,
+            size=self._settings.resources.descriptors // 4,
+            body_limit=_BODY_LIMIT,
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+        )
--- /dev/null
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/supervisor.py
@@ -0,0 +1,30 @@
+"""Supervisor of the listener for the target beside the node.
+
+Children: `sessions` and `accept`. One that fails is restarted alone.
+"""
+
+import functools
+
+from sassafras_base import supervision
+from sassafras_node import listening
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.targets import announcements
+
+
+async def run(listener: listening.Listener) -> None:
+    """Runs the children until cancelled."""
+    await supervision.Supervisor("mesh/targets").run(
+        [
+            supervision.Child("sessions", listener.run_sessions),
+            supervision.Child("accept", listener.accept),
+        ]
+    )
+
+
+def make_listener(runtime: runtimes.Runtime) -> listening.Listener:
+    """Returns the listener for announcements."""
+    return listening.Listener(
+        "announcement",
+        runtime.settings.host.announcement_address,
+        functools.partial(announcements.serve, runtime),
+    )
--- a/packages/sassafras-node/src/sassafras_node/peers/views.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/views.py
@@ -74,16 +74,42 @@
         self, record: records.NodeRecord, own: records.NodeRecord
     ) -> balancers.Candidate:
         """Returns a target as the balancer sees it."""
-        view = self._view(record.node_id)
+        return self.candidate_of(
+            record.node_id,
+            identity=(record.incarnation, record.target_address),
+            same_zone=record.availability_zone == own.availability_zone,
+            slots=record.slots,
+            cold_start_s=record.cold_start_s,
+        )
+
+    def candidate_of(
+        self,
+        node_id: str,
+        *,
+        identity: object,
+        same_zone: bool,
+        slots: int,
+        cold_start_s: float,
+    ) -> balancers.Candidate:
+        """Returns a target as the balancer sees it.
+
+        Args:
+          node_id: The node beside the target.
+          identity: Differs for each start of the target.
+          same_zone: Whether it is in this node's availability zone.
+          slots: Calls that it can run at once.
+          cold_start_s: How long it stays slow after its start.
+        """
+        view = self._view(node_id)
         target = view.health
         now = self._clock.now()
-        target.met((record.incarnation, record.target_address), now)
+        target.met(identity, now)
         return balancers.Candidate(
-            node_id=record.node_id,
-            same_zone=record.availability_zone == own.availability_zone,
+            node_id=node_id,
+            same_zone=same_zone,
             in_flight=view.in_flight,
             load=target.load(now),
-            capacity=record.slots * target.share(record.cold_start_s, now),
+            capacity=slots * target.share(cold_start_s, now),
             errors=target.errors(now),
             ejected=target.is_ejected(now),
         )
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -1,6 +1,5 @@
 """The state of one node process; each part has the owner named here."""
 
-import dataclasses
 import pathlib
 import random
 
@@ -9,6 +8,7 @@
 from sassafras_base import clock as clocks
 from sassafras_base import errors
 from sassafras_base import supervision
+from sassafras_node import drain as drains
 from sassafras_node.calls import contexts
 from sassafras_node.limits import gate as gates
 from sassafras_node.membership import neighbours
@@ -40,38 +40,6 @@
 from sassafras_wire.store import client as store_client
 
 
-@dataclasses.dataclass(slots=True)
-class Drain:
-    """Counts work in flight and says whether the node is stopping.
-
-    Attributes:
-      requested: Set when a planned stop begins.
-      in_flight: Requests and peer calls that are being served.
-      idle: Set while nothing is in flight.
-    """
-
-    requested: trio.Event
-    in_flight: int
-    idle: trio.Event
-
-    def enter(self) -> None:
-        """Counts one more piece of work."""
-        self.in_flight += 1
-        if self.in_flight == 1:
-            self.idle = trio.Event()
-
-    def leave(self) -> None:
-        """Counts one piece of work less."""
-        self.in_flight -= 1
-        if self.in_flight == 0:
-            self.idle.set()
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether a planned stop has begun."""
-        return self.requested.is_set()
-
-
 class Runtime:
     """What the tasks of one node share.
 
@@ -153,9 +121,7 @@
             ),
             secret=_read_secret(settings.peers.secret_file),
         )
-        idle = trio.Event()
-        idle.set()
-        self.drain = Drain(trio.Event(), 0, idle)
+        self.drain = drains.make_drain()
         http = settings.http
         self.body_budget = http_server.BodyBudget(http.buffered_bytes)
         self.http_limits = http_server.ServerLimits(
--- a/packages/sassafras-policy/src/sassafras_policy/calls/outcomes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/outcomes.py
@@ -24,6 +24,7 @@
     NO_TARGET = "no-target"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
+    TURNED_AWAY = "turned-away"
     DEADLINE = "deadline"
     RETRIES_EXHAUSTED = "retries-exhausted"
     CONNECTION_LOST = "connection-lost"
--- /dev/null
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/configuration.py
@@ -0,0 +1,94 @@
+"""Data classes of a configuration with routes by host and path prefix."""
+
+import dataclasses
+
+from sassafras_policy.configuration import document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """The part of a route's requests that one service gets.
+
+    Attributes:
+      service: The service.
+      weight: Its part, relative to the weights of the other shares.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host name below one path prefix.
+
+    Attributes:
+      name: Unique name.
+      host: Value of the `Host` field that selects the route.
+      prefix: Path prefix; begins and ends with a slash.
+      is_idempotent: Whether a request may run more than once.
+      timeout_s: Longest time that a caller is kept waiting; 0 for no bound.
+      objective_s: Time within which an answer counts in full; 0 if unknown.
+      priority: Rank of the route; 0 is the most important.
+      shares: The services that serve the route.
+      most_targets: Targets that one request may be sent to.
+      is_open: Whether a request needs no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    is_idempotent: bool
+    timeout_s: float
+    objective_s: float
+    priority: int
+    shares: tuple[Share, ...]
+    most_targets: int
+    is_open: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation, its rate and the rank of its requests.
+
+    Attributes:
+      account: Name, rate, burst and keys.
+      priority: Takes precedence over the priority of routes; None if unset.
+    """
+
+    account: document.Organisation
+    priority: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    Attributes:
+      header_bytes: Largest header block.
+      body_bytes: Largest body.
+      header_timeout_s: Longest time for a header block to arrive.
+      idle_timeout_s: How long a connection may stay idle.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One whole version of the configuration.
+
+    Attributes:
+      version: Rises with each accepted change, in uneven steps.
+      routes: The routes.
+      organisations: The organisations; empty if no route needs a key.
+      limits: Bounds on requests of callers.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    organisations: tuple[Organisation, ...]
+    limits: CallerLimits
--- /dev/null
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
@@ -0,0 +1,94 @@
+"""The nodes of the fleet, as the store and the control links show them."""
+
+import dataclasses
+
+from sassafras_policy.mesh import targets
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One node.
+
+    Attributes:
+      entry: What it last published.
+      removed_at: When its entry lapsed in the store; None while it stands.
+    """
+
+    entry: targets.NodeEntry
+    removed_at: float | None = None
+
+
+class Fleet:
+    """All nodes but this one.
+
+    An entry that has lapsed stays for a while: after an outage of the store
+    the entries of all live nodes are gone until they have been written again.
+
+    Attributes:
+      return_s: How long a live node needs at most to write its entry again.
+    """
+
+    def __init__(self, own_id: str, return_s: float) -> None:
+        self.return_s = return_s
+        self._own_id = own_id
+        self._members: dict[str, Member] = {}
+        self._by_service: dict[str, list[targets.NodeEntry]] | None = None
+
+    def __len__(self) -> int:
+        """Returns how many other nodes are known."""
+        return len(self._members)
+
+    @property
+    def entries(self) -> list[targets.NodeEntry]:
+        """The entries of all other nodes."""
+        return [member.entry for member in self._members.values()]
+
+    def get(self, node_id: str) -> targets.NodeEntry | None:
+        """Returns the entry of a node."""
+        member = self._members.get(node_id)
+        return member.entry if member else None
+
+    def publish(self, entry: targets.NodeEntry) -> None:
+        """Takes an entry from the store or from the node itself."""
+        if entry.node_id == self._own_id:
+            return
+        member = self._members.get(entry.node_id)
+        if member and member.entry.incarnation > entry.incarnation:
+            return
+        self._members[entry.node_id] = Member(entry)
+        self._by_service = None
+
+    def lapse(self, node_id: str, now: float) -> None:
+        """Notes that the store has no entry of a node any more."""
+        member = self._members.get(node_id)
+        if member is not None and member.removed_at is None:
+            member.removed_at = now
+
+    def keep_only(self, node_ids: set[str], now: float) -> None:
+        """Lapses all nodes that a whole listing of the store lacks."""
+        for node_id in self._members:
+            if node_id not in node_ids:
+                self.lapse(node_id, now)
+
+    def expire(self, now: float) -> list[str]:
+        """Forgets nodes whose entries did not come back; returns them."""
+        gone = [
+            node_id
+            for node_id, member in self._members.items()
+            if member.removed_at is not None
+            and now - member.removed_at >= self.return_s
+        ]
+        for node_id in gone:
+            del self._members[node_id]
+            self._by_service = None
+        return gone
+
+    def serving(self, service: str) -> list[targets.NodeEntry]:
+        """Returns the nodes that take calls for a service."""
+        if self._by_service is None:
+            index: dict[str, list[targets.NodeEntry]] = {}
+            for entry in self.entries:
+                if entry.service:
+                    index.setdefault(entry.service, []).append(entry)
+            self._by_service = index
+        return self._by_service.get(service, [])
--- /dev/null
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/routing.py
@@ -0,0 +1,94 @@
+"""Finds the route and the organisation of a request."""
+
+import hashlib
+
+from sassafras_policy.mesh import configuration
+
+
+def digest_of(key: str) -> str:
+    """Returns the digest under which a caller's key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class WeightedRotation:
+    """Deals requests to services in exact proportion to their weights.
+
+    Smooth weighted round-robin keeps each share within one request of its
+    weight at every moment, so short windows keep the proportions as well.
+    """
+
+    def __init__(self, shares: tuple[configuration.Share, ...]) -> None:
+        self.shares = shares
+        self._credit = [0.0] * len(shares)
+        self._total = sum(share.weight for share in shares)
+
+    def next(self) -> str:
+        """Returns the service of the next request."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        for position, share in enumerate(self.shares):
+            self._credit[position] += share.weight
+        best = max(range(len(self.shares)), key=self._credit.__getitem__)
+        self._credit[best] -= self._total
+        return self.shares[best].service
+
+
+class RoutingTable:
+    """Index of one configuration version.
+
+    Attributes:
+      source: The version that is indexed.
+    """
+
+    def __init__(
+        self,
+        source: configuration.Configuration,
+        previous: "RoutingTable | None" = None,
+    ) -> None:
+        self.source = source
+        self._by_host: dict[str, dict[str, configuration.Route]] = {}
+        self._rotations: dict[str, WeightedRotation] = {}
+        self._by_digest: dict[str, configuration.Organisation] = {}
+        for route in source.routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.prefix] = route
+            self._rotations[route.name] = _rotation(route, previous)
+        for organisation in source.organisations:
+            for key in organisation.account.keys:
+                self._by_digest[key.digest] = organisation
+
+    def rotation(self, name: str) -> WeightedRotation | None:
+        """Returns the rotation of a route."""
+        return self._rotations.get(name)
+
+    def find(self, host: str, path: str) -> configuration.Route | None:
+        """Returns the route with the longest prefix that begins the path."""
+        prefixes = self._by_host.get(host.lower())
+        if prefixes is None:
+            return None
+        path = path.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def service_for(self, route: configuration.Route) -> str:
+        """Returns the service that serves the next request of a route."""
+        return self._rotations[route.name].next()
+
+    def organisation_of(self, key: str) -> configuration.Organisation | None:
+        """Returns the organisation that holds a key."""
+        return self._by_digest.get(digest_of(key))
+
+
+def _rotation(
+    route: configuration.Route, previous: RoutingTable | None
+) -> WeightedRotation:
+    """Keeps the position of a rotation whose weights have not changed."""
+    kept = previous.rotation(route.name) if previous else None
+    if kept is not None and kept.shares == route.shares:
+        return kept
+    return WeightedRotation(route.shares)
--- a/packages/sassafras-policy/src/sassafras_policy/retries/guard.py
+++ b/packages/sassafras-policy/src/sassafras_policy/retries/guard.py
@@ -18,16 +18,35 @@
 
 
 class RetryGuard:
-    """Keeps a node's retries at 10% of its first attempts, over 10 s.
+    """Keeps a node's retries at a part of its first attempts.
 
-    Ten retries in a window are always allowed. The allowance bounds one root
+    A few retries in a window are always allowed. The allowance bounds one root
     request; the guard bounds the load that many failing requests together add
     to a service that is in trouble.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        ratio: float = _RATIO,
+        floor: float = _FLOOR,
+        window_s: float = _WINDOW_S,
+    ) -> None:
+        """Sets the bounds.
+
+        Args:
+          ratio: Retries allowed for each first attempt.
+          floor: Retries allowed in each window whatever the traffic.
+          window_s: Length of the window in seconds.
+        """
+        self._ratio = ratio
+        self._floor = floor
+        self._window_s = window_s
         self._seconds: collections.deque[_Second] = collections.deque()
 
+    def set_floor(self, floor: float) -> None:
+        """Changes the retries that are allowed whatever the traffic."""
+        self._floor = floor
+
     def first_attempt(self, now: float) -> None:
         """Counts a call that is not a retry."""
         self._current(now).first_attempts += 1
@@ -37,7 +56,7 @@
         current = self._current(now)
         first_attempts = sum(item.first_attempts for item in self._seconds)
         retries = sum(item.retries for item in self._seconds)
-        if retries >= max(_FLOOR, int(first_attempts * _RATIO)):
+        if retries >= max(self._floor, int(first_attempts * self._ratio)):
             return False
         current.retries += 1
         return True
@@ -50,7 +69,9 @@
 
     def _current(self, now: float) -> _Second:
         second = int(now)
-        while self._seconds and self._seconds[0].second <= second - _WINDOW_S:
+        while self._seconds and (
+            self._seconds[0].second <= second - self._window_s
+        ):
             self._seconds.popleft()
         if not self._seconds or self._seconds[-1].second != second:
             self._seconds.append(_Second(second))
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -1,7 +1,9 @@
 """The client side of one HTTP/1.1 connection."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
+import math
 
 import h11
 import trio
@@ -9,6 +11,7 @@
 from sassafras_base import errors
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
+from sassafras_wire.http import sockets
 
 _READ_BYTES = 64 * 1024
 _HEADER_BYTES = 64 * 1024
@@ -23,6 +26,19 @@
     body: bytes
 
 
+ResponseCheck = Callable[["Response"], bool]
+
+# For servers that do not say how long they keep an idle connection.
+_DEFAULT_KEEP_ALIVE_S = 60.0
+
+# A request sent as the server closes an idle connection may be lost, so the
+# last part of the stated time is not used.
+_KEEP_ALIVE_SHARE = 0.8
+
+# A server that sends more answers than this before the right one is broken.
+_MOST_FOREIGN_RESPONSES = 4
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Returns host and port of a `host:port` address."""
     host, _, port = address.rpartition(":")
@@ -48,6 +64,7 @@
             h11.CLIENT, max_incomplete_event_size=_HEADER_BYTES
         )
         self._at_end = False
+        self._reuse_until = math.inf
 
     @classmethod
     async def connect(
@@ -62,6 +79,7 @@
         try:
             with trio.fail_after(timeout_s):
                 stream = await trio.open_tcp_stream(host, port)
+                sockets.detect_silence(stream)
         except (OSError, trio.TooSlowError) as error:
             raise errors.UnreachableError(
                 step, address, f"cannot connect: {error!r}"
@@ -74,10 +92,13 @@
         return (
             self._connection.our_state is h11.IDLE
             and self._connection.their_state is h11.IDLE
+            and not self._connection.trailing_data[0]
         )
 
     def is_stale(self) -> bool:
         """Returns whether an idle server closed or sent something unasked."""
+        if trio.current_time() >= self._reuse_until:
+            return True
         if not isinstance(self._stream, trio.SocketStream):
             return False
         socket = self._stream.socket
@@ -87,12 +108,15 @@
         self,
         request: messages.Request,
         progress: progresses.Progress | None = None,
+        belongs: ResponseCheck | None = None,
     ) -> Response:
         """Sends a request and returns the whole response.
 
         Args:
           request: The request.
           progress: Is told when the first byte has been handed over.
+          belongs: Tells whether a response answers this request. A server may
+            send a late second response to an earlier request; it is skipped.
 
         Raises:
           UnreachableError: The connection was gone before anything was sent.
@@ -101,6 +125,26 @@
           ProtocolError: The response breaks HTTP/1.1 or is too large.
         """
         await self._send(request, progress or progresses.Progress())
+        response = await self._receive()
+        skipped = 0
+        while belongs is not None and not belongs(response):
+            skipped += 1
+            if skipped > _MOST_FOREIGN_RESPONSES:
+                raise errors.ProtocolError(
+                    self.step, self.peer, "answers to other requests only"
+                )
+            self._expect_another(request)
+            response = await self._receive()
+        if (
+            self._connection.our_state is h11.DONE
+            and self._connection.their_state is h11.DONE
+        ):
+            self._connection.start_next_cycle()
+            self._reuse_until = trio.current_time() + _keep_alive_s(response)
+        return response
+
+    async def _receive(self) -> Response:
+        """Reads one whole response."""
         head = await self._next_head()
         body = bytearray()
         async for chunk in self._chunks():
@@ -111,13 +155,24 @@
                     self.peer,
                     f"the response is over {self._body_limit} bytes",
                 )
-        if (
-            self._connection.our_state is h11.DONE
-            and self._connection.their_state is h11.DONE
-        ):
-            self._connection.start_next_cycle()
         return _to_response(head, bytes(body))
 
+    def _expect_another(self, request: messages.Request) -> None:
+        """Prepares to parse what follows a response to another request.
+
+        h11 reads one response for each request sent, so a new parser is told
+        of the request again and gets the bytes that are left.
+        """
+        if self._connection.their_state is not h11.DONE:
+            raise self._lost("the answer belongs to another request")
+        rest = self._connection.trailing_data[0]
+        self._connection = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_HEADER_BYTES
+        )
+        self._encode(request)
+        if rest:
+            self._connection.receive_data(rest)
+
     async def stream(
         self, request: messages.Request
     ) -> tuple[int, AsyncIterator[bytes]]:
@@ -133,20 +188,7 @@
     async def _send(
         self, request: messages.Request, progress: progresses.Progress
     ) -> None:
-        headers = [
-            ("host", self.peer),
-            *request.headers,
-            ("content-length", str(len(request.body))),
-        ]
-        head = h11.Request(
-            method=request.method.encode(),
-            target=request.path.encode("latin-1"),
-            headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
-        )
-        data = self._connection.send(head) or b""
-        if request.body:
-            data += self._connection.send(h11.Data(data=request.body)) or b""
-        data += self._connection.send(h11.EndOfMessage()) or b""
+        data = self._encode(request)
         if not isinstance(self._stream, trio.SocketStream):
             progress.may_have_run = True
             try:
@@ -169,6 +211,25 @@
                 ) from None
             raise self._lost(f"lost while sending: {error!r}") from None
 
+    def _encode(self, request: messages.Request) -> bytes:
+        """Returns the bytes of a request; the parser then awaits its answer."""
+        headers = [
+            *request.headers,
+            ("content-length", str(len(request.body))),
+        ]
+        if request.header("host") is None:
+            headers.insert(0, ("host", self.peer))
+        head = h11.Request(
+            method=request.method.encode(),
+            target=request.path.encode("latin-1"),
+            headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
+        )
+        data = self._connection.send(head) or b""
+        if request.body:
+            data += self._connection.send(h11.Data(data=request.body)) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        return data
+
     def _lost(self, problem: str) -> errors.ConnectionLostError:
         return errors.ConnectionLostError(self.step, self.peer, problem)
 
@@ -217,3 +278,15 @@
         for name, value in head.headers
     )
     return Response(status=head.status_code, headers=headers, body=body)
+
+
+def _keep_alive_s(response: Response) -> float:
+    """Returns how long a connection may be idle before its next request."""
+    for name, value in response.headers:
+        if name != "keep-alive":
+            continue
+        for part in value.split(","):
+            key, _, seconds = part.strip().partition("=")
+            if key.strip().lower() == "timeout" and seconds.strip().isdigit():
+                return int(seconds) * _KEEP_ALIVE_SHARE
+    return _DEFAULT_KEEP_ALIVE_S
--- a/packages/sassafras-wire/src/sassafras_wire/http/fields.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/fields.py
@@ -54,6 +54,38 @@
     )
 
 
+def end_to_end(
+    headers: messages.Headers, left_out: frozenset[str]
+) -> messages.Headers:
+    """Returns the fields that concern more than one connection.
+
+    Args:
+      headers: All fields, names in lower case.
+      left_out: Further names that must not travel on.
+    """
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in _HOP_BY_HOP
+        and name not in left_out
+        and name not in named
+        and not name.startswith(_OWN_PREFIX)
+    )
+
+
+def outcome_value(answer: messages.Answer) -> str:
+    """Returns the value of the field that tells how a request ended."""
+    if answer.reason:
+        return f"{answer.outcome}; reason={answer.reason}"
+    return str(answer.outcome)
+
+
 def bearer_key(headers: messages.Headers) -> str | None:
     """Returns the key of an `Authorization: Bearer` field, or None."""
     for name, value in headers:
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -31,6 +31,7 @@
         self,
         request: messages.Request,
         progress: progresses.Progress | None = None,
+        belongs: client.ResponseCheck | None = None,
     ) -> client.Response:
         """Sends a request on a pooled connection.
 
@@ -40,6 +41,7 @@
         Args:
           request: The request.
           progress: Is told when the first byte has been handed over.
+          belongs: Tells whether a response answers the request.
 
         Raises:
           UnreachableError: No connection could be opened; nothing was sent.
@@ -53,7 +55,9 @@
                 if connection is None:
                     connection = await self._connect()
                 try:
-                    response = await connection.exchange(request, progress)
+                    response = await connection.exchange(
+                        request, progress, belongs
+                    )
                 except errors.UnreachableError:
                     await connection.close()
                     if is_new:
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -1,5 +1,6 @@
 """The server side of one HTTP/1.1 connection."""
 
+from collections.abc import Callable
 import dataclasses
 import math
 
@@ -36,6 +37,23 @@
         super().__init__(_STEP, peer, problem, "correct the request")
 
 
+AnswerForm = Callable[[messages.Answer], list[tuple[str, str]]]
+
+
+def standard_form(answer: messages.Answer) -> list[tuple[str, str]]:
+    """Returns the header fields of an answer in the product's own interface."""
+    headers = [
+        (name, value)
+        for name, value in answer.headers
+        if name != fields.RETRY_AFTER or not answer.retry_after_ms
+    ]
+    headers.append((fields.OUTCOME, fields.outcome_value(answer)))
+    if answer.retry_after_ms:
+        seconds = max(1, math.ceil(answer.retry_after_ms / 1000))
+        headers.append((fields.RETRY_AFTER, str(seconds)))
+    return headers
+
+
 class BodyBudget:
     """Bytes of request bodies that all connections may hold together."""
 
@@ -76,8 +94,10 @@
         peer: str,
         limits: ServerLimits,
         budget: BodyBudget | None = None,
+        form: AnswerForm = standard_form,
     ) -> None:
         self.peer = peer
+        self._form = form
         self._stream = stream
         self._limits = limits
         self._budget = budget
@@ -161,18 +181,7 @@
           answer: The answer.
           close: Tells the other side to send no more on this connection.
         """
-        headers = [
-            (name, value)
-            for name, value in answer.headers
-            if name != fields.RETRY_AFTER or not answer.retry_after_ms
-        ]
-        outcome = str(answer.outcome)
-        if answer.reason:
-            outcome = f"{outcome}; reason={answer.reason}"
-        headers.append((fields.OUTCOME, outcome))
-        if answer.retry_after_ms:
-            seconds = max(1, math.ceil(answer.retry_after_ms / 1000))
-            headers.append((fields.RETRY_AFTER, str(seconds)))
+        headers = self._form(answer)
         headers.append(("content-length", str(len(answer.body))))
         if close or self._connection.their_state is not h11.DONE:
             headers.append(("connection", "close"))
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the nodes of a mesh."""
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -0,0 +1,108 @@
+"""Messages on the control link between two nodes, in CBOR."""
+
+from typing import Literal
+
+import pydantic
+
+from sassafras_policy.mesh import targets
+from sassafras_wire.peer import models
+
+
+class AnnouncementModel(pydantic.BaseModel):
+    """The target beside a node."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    target_id: str
+    service: str
+    address: str
+    capacity: int = pydantic.Field(ge=0)
+    state: targets.State
+    cold_start_s: float = 0.0
+    sequence: int = 0
+    started_ms: int = 0
+
+
+class NodeEntryModel(pydantic.BaseModel):
+    """What a node publishes of itself."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    node_id: str
+    incarnation: int
+    availability_zone: str
+    call_address: str
+    link_address: str
+    is_leaving: bool = False
+    target: AnnouncementModel | None = None
+
+
+@models.message_types.register("mesh_ping")
+class Ping(models.Message):
+    """Asks for news; the answer is `News` with the same number."""
+
+    type: Literal["mesh_ping"] = "mesh_ping"
+    number: int = pydantic.Field(gt=0)
+    configuration_version: int
+
+
+@models.message_types.register("mesh_news")
+class News(models.Message):
+    """What the node now says of itself and of its configuration.
+
+    Attributes:
+      number: Number of the ping that it answers; 0 for news that come unasked.
+      entry: The node's own entry.
+      load: Load of the target beside it, 1.0 when its limit is in use.
+      confirmed_age_s: Age of the proof that its configuration is the newest.
+      configuration: The document, when it is newer than that of the asker.
+    """
+
+    type: Literal["mesh_news"] = "mesh_news"
+    number: int = 0
+    entry: NodeEntryModel
+    load: float
+    configuration_version: int
+    confirmed_age_s: float
+    configuration: bytes = b""
+
+
+def to_model(entry: targets.NodeEntry) -> NodeEntryModel:
+    """Returns the model of an entry."""
+    target = entry.target
+    return NodeEntryModel(
+        node_id=entry.node_id,
+        incarnation=entry.incarnation,
+        availability_zone=entry.availability_zone,
+        call_address=entry.call_address,
+        link_address=entry.link_address,
+        is_leaving=entry.is_leaving,
+        target=None
+        if target is None
+        else AnnouncementModel(
+            target_id=target.target_id,
+            service=target.service,
+            address=target.address,
+            capacity=target.capacity,
+            state=target.state,
+            cold_start_s=target.cold_start_s,
+            sequence=target.sequence,
+            started_ms=target.started_ms,
+        ),
+    )
+
+
+def to_entry(model: NodeEntryModel) -> targets.NodeEntry:
+    """Returns the entry in a model."""
+    target = model.target
+    return targets.NodeEntry(
+        node_id=model.node_id,
+        incarnation=model.incarnation,
+        availability_zone=model.availability_zone,
+        call_address=model.call_address,
+        link_address=model.link_address,
+        is_leaving=model.is_leaving,
+        target=None
+        if target is None
+        else targets.Announcement(**target.model_dump()),
+    )
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -168,26 +168,29 @@
     traffic: Traffic = dataclasses.field(default_factory=Traffic)
 
 
-async def open_link(
-    nursery: trio.Nursery, address: str, credentials: Credentials
+async def connect(
+    nursery: trio.Nursery,
+    address: str,
+    timeout_s: float,
+    traffic: Traffic | None = None,
 ) -> Link:
-    """Connects to a node and authenticates both sides.
+    """Connects to a node without authentication of either side.
 
     Args:
       nursery: Runs the websocket's own reader until the link is closed.
-      address: `host:port` of the node's peer listener.
-      credentials: This node's identity and secret.
+      address: `host:port` of the node's listener.
+      timeout_s: Longest time for the connection and the upgrade.
+      traffic: Where control messages are counted.
 
     Raises:
       UnreachableError: The node could not be reached.
-      AuthenticationError: The node does not know the peer secret.
     """
     connector = trio_client.connect(
         f"ws://{address}/",
         compression=None,
         proxy=None,
         user_agent_header=None,
-        open_timeout=credentials.timeout_s,
+        open_timeout=timeout_s,
         ping_interval=None,
         close_timeout=CLOSE_TIMEOUT_S,
         max_size=codec.MAXIMUM_FRAME_BYTES,
@@ -198,7 +201,26 @@
         raise errors.UnreachableError(
             "peer.connect", address, f"cannot connect: {error!r}"
         ) from None
-    link = Link(connection, address, credentials.traffic)
+    return Link(connection, address, traffic)
+
+
+async def open_link(
+    nursery: trio.Nursery, address: str, credentials: Credentials
+) -> Link:
+    """Connects to a node and authenticates both sides.
+
+    Args:
+      nursery: Runs the websocket's own reader until the link is closed.
+      address: `host:port` of the node's peer listener.
+      credentials: This node's identity and secret.
+
+    Raises:
+      UnreachableError: The node could not be reached.
+      AuthenticationError: The node does not know the peer secret.
+    """
+    link = await connect(
+        nursery, address, credentials.timeout_s, credentials.traffic
+    )
     try:
         with trio.fail_after(credentials.timeout_s):
             await _open_handshake(link, credentials)
@@ -226,6 +248,37 @@
       AuthenticationError: The other side does not know the peer secret.
       ConnectionLostError: The other side went away.
     """
+    link = await upgrade(
+        nursery, stream, address, credentials.timeout_s, credentials.traffic
+    )
+    try:
+        with trio.fail_after(credentials.timeout_s):
+            await _accept_handshake(link, credentials)
+    except trio.TooSlowError:
+        await link.abort()
+        raise errors.ProtocolError(
+            "peer.accept",
+            address,
+            f"no proof within {credentials.timeout_s:.0f} s",
+        ) from None
+    except BaseException:
+        await link.abort()
+        raise
+    return link
+
+
+async def upgrade(
+    nursery: trio.Nursery,
+    stream: trio.SocketStream,
+    address: str,
+    timeout_s: float,
+    traffic: Traffic | None = None,
+) -> Link:
+    """Takes an accepted stream and upgrades it, without authentication.
+
+    Raises:
+      ProtocolError: The other side does not speak the peer protocol.
+    """
     protocol = websocket_server.ServerProtocol(
         max_size=codec.MAXIMUM_FRAME_BYTES
     )
@@ -237,21 +290,18 @@
         ping_interval=None,
         close_timeout=CLOSE_TIMEOUT_S,
     )
-    link = Link(connection, address, credentials.traffic)
+    link = Link(connection, address, traffic)
     try:
-        with trio.fail_after(credentials.timeout_s):
+        with trio.fail_after(timeout_s):
             await connection.handshake(server_header=None)
             if protocol.handshake_exc is not None:
                 raise errors.ProtocolError(
                     "peer.accept", address, "not a websocket handshake"
                 )
-            await _accept_handshake(link, credentials)
     except trio.TooSlowError:
         await link.abort()
         raise errors.ProtocolError(
-            "peer.accept",
-            address,
-            f"no proof within {credentials.timeout_s:.0f} s",
+            "peer.accept", address, f"no upgrade within {timeout_s:.0f} s"
         ) from None
     except BaseException:
         await link.abort()
