Emulate the platform, test the mesh node on it, write a lost entry again

The first test of lapsed entries failed: an entry that the store lost while its lease lived was never written again. Change: stand-ins of the store and of endpoints with their faults, a load tool that runs nodes as processes, tests in tests/mesh; a node that sees its own entry removed writes it again. Lines of requests go past loguru.

--- a/packages/sassafras-base/src/sassafras_base/events.py
+++ b/packages/sassafras-base/src/sassafras_base/events.py
@@ -12,6 +12,8 @@
 import json
 import logging
 import sys
+import time
+from typing import Any
 from typing import ParamSpec
 
 import loguru
@@ -60,44 +62,55 @@
 
         @functools.wraps(message)
         def write(*args: P.args, **kwargs: P.kwargs) -> None:
+            if _line_sink is not None:
+                _line_sink.write_event(event, args, kwargs)
+                return
             text = message(*args, **kwargs)
-            bound = loguru.logger.bind(
-                event=event, values=(*args, *kwargs.values())
-            )
-            bound.log(level, "E{:04d} {}", number, text)
+            loguru.logger.log(level, "E{:04d} {}", number, text)
 
         return write
 
     return decorate
 
 
+class _LineSink:
+    """Turns events into lines of JSON."""
+
+    def __init__(self, writer: line_writer.LineWriter, level: str) -> None:
+        self._writer = writer
+        self._least = loguru.logger.level(level).no
+
+    def write_event(
+        self, event: LogEvent, args: tuple[Any, ...], kwargs: dict[str, Any]
+    ) -> None:
+        """Writes a line unless the event is below the least level."""
+        if loguru.logger.level(event.level).no < self._least:
+            return
+        line: dict[str, object] = {
+            "time": round(time.time(), 3),
+            "level": event.level,
+            "event": event.number,
+            "name": event.name,
+        }
+        line.update(zip(event.fields, args, strict=False))
+        line.update(kwargs)
+        self._writer.write(json.dumps(line))
+
+
+_line_sink: _LineSink | None = None
+
+
 def configure_json(writer: line_writer.LineWriter, level: str) -> None:
     """Sends one JSON object for each event of at least `level` to a writer.
 
     An object has the time in seconds, the level, the event's number and name,
-    and the event's fields. Positional arguments are in the order of the fields.
+    and the event's fields. The lines of requests are too many for loguru, which
+    took a twentieth of the processor time; other lines go through it as usual.
     """
+    global _line_sink
     logging.getLogger("websockets").setLevel(logging.ERROR)
     loguru.logger.remove()
-
-    def write(message: "loguru.Message") -> None:
-        record = message.record
-        event: LogEvent | None = record["extra"].get("event")
-        line: dict[str, object] = {
-            "time": round(record["time"].timestamp(), 3),
-            "level": record["level"].name,
-        }
-        if event is None:
-            line["text"] = record["message"]
-        else:
-            line["event"] = event.number
-            line["name"] = event.name
-            line |= zip(event.fields, record["extra"]["values"], strict=False)
-        writer.write(json.dumps(line))
-
-    loguru.logger.add(
-        write, level=level, format="", backtrace=False, diagnose=False
-    )
+    _line_sink = _LineSink(writer, level)
 
 
 def configure(level: str = "INFO") -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -61,6 +61,8 @@
       measurements: Counters and latencies.
       sub_call_failed_at: When a call of the target beside last failed.
       entry_changed: Set and replaced when this node's entry changes.
+      own_entry_removed: Set when the store has lost this node's entry;
+        replaced when it has been written.
       configuration_changed: Set and replaced with each new configuration.
       http_limits: Bounds on requests.
       body_budget: Bytes of request bodies held by all connections.
@@ -96,6 +98,7 @@
         self.drain = drains.make_drain()
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
+        self.own_entry_removed = trio.Event()
         self.configuration_changed = trio.Event()
         self.http_limits = http_server.ServerLimits()
         self.body_budget = http_server.BodyBudget(
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -59,10 +59,10 @@
     listing = await runtime.platform.store.get_prefix(entries.PREFIX)
     for item in listing.items:
         _take(runtime, item)
-    runtime.fleet.keep_only(
-        {entries.node_of(item.key) for item in listing.items},
-        runtime.clock.now_with_suspend(),
-    )
+    known = {entries.node_of(item.key) for item in listing.items}
+    runtime.fleet.keep_only(known, runtime.clock.now_with_suspend())
+    if runtime.settings.host.node_id not in known:
+        runtime.own_entry_removed.set()
     return listing.revision
 
 
@@ -70,6 +70,8 @@
     if item.value is None:
         node_id = entries.node_of(item.key)
         node_entry_lapsed(node_id)
+        if node_id == runtime.settings.host.node_id:
+            runtime.own_entry_removed.set()
         runtime.fleet.lapse(node_id, runtime.clock.now_with_suspend())
         return
     entry = entries.decode(item.value)
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -51,7 +51,7 @@
 
 
 async def _keep_one_lease(runtime: runtimes.Runtime) -> None:
-    """Writes the entry with each change; returns when the lease has ended.
+    """Writes the entry with each change; returns when it or the lease is gone.
 
     A call that fails leaves the lease as it is, so the next attempt starts
     with a new one, and the condition of the write orders the two.
@@ -72,13 +72,32 @@
             if revision == 0:
                 return
             written = value
+            runtime.own_entry_removed = trio.Event()
             entry_written(revision, _state(runtime))
-        with trio.move_on_after(ttl_s / _KEEPS_IN_LEASE):
-            await changed.wait()
-            await trio.sleep(_CHANGE_DELAY_S)
-            continue
-        if not await store.keep_lease(lease):
+        await _wait(runtime, changed, ttl_s / _KEEPS_IN_LEASE)
+        if runtime.own_entry_removed.is_set():
             return
+        if not changed.is_set() and not await store.keep_lease(lease):
+            return
+
+
+async def _wait(
+    runtime: runtimes.Runtime, changed: trio.Event, longest_s: float
+) -> None:
+    """Waits until the entry has changed, was removed, or is to be kept."""
+    with trio.move_on_after(longest_s):
+        async with trio.open_nursery() as nursery:
+
+            async def wait_for(event: trio.Event) -> None:
+                await event.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait_for, changed)
+            nursery.start_soon(wait_for, runtime.own_entry_removed)
+    if changed.is_set():
+        # Changes come in pairs, such as the last state of a target and its
+        # successor's first.
+        await trio.sleep(_CHANGE_DELAY_S)
 
 
 async def _write(
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -44,7 +44,11 @@
     return f"stopped with {in_flight} requests in flight"
 
 
-async def run(runtime: runtimes.Runtime) -> None:
+async def run(
+    runtime: runtimes.Runtime,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Runs a node until `runtime.drain.requested` is set and work is done."""
     caller_listeners = callers.make_listeners(runtime)
     target_listener = targets.make_listener(runtime)
@@ -79,6 +83,7 @@
             mesh_node_serving(
                 host.node_id, host.caller_address, host.target_service
             )
+            task_status.started()
             await runtime.drain.requested.wait()
             await _leave(runtime, [caller_listeners[0], call_listener])
             nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""An emulator of the users' platform: store, endpoints, clients, machines."""
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
@@ -0,0 +1,243 @@
+"""Runs nodes as processes on an emulated platform, under load.
+
+Prints how requests ended, latencies, and what a node used. Experiments compare
+two versions by running this with the same seed.
+"""
+
+import os
+import pathlib
+import random
+import resource
+import signal
+import subprocess
+import sys
+import tempfile
+
+from absl import app
+from absl import flags
+from hdrh import histogram
+import trio
+
+from sassafras_base import errors
+from sassafras_policy.calls import messages
+from sassafras_standins.fleet import launcher
+from sassafras_standins.platform import documents
+from sassafras_standins.platform import endpoint
+from sassafras_standins.platform import machines
+from sassafras_standins.platform import store as store_standin
+from sassafras_wire.http import client
+
+_MACHINES = flags.DEFINE_integer("machines", 4, "Machines.", 1, 40)
+_RATE = flags.DEFINE_float("rate_per_s", 100.0, "Requests a second.", 1, 2000)
+_SECONDS = flags.DEFINE_float("seconds", 10.0, "Length of the load.", 1, 600)
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
+_WORK_MS = flags.DEFINE_float("work_ms", 20.0, "Work of a request.", 0, 5000)
+_FAULT = flags.DEFINE_enum(
+    "fault",
+    "none",
+    ["none", "store-silent", "store-slow", "endpoint-slow", "node-kill"],
+    "What happens in the middle third of the load.",
+)
+_SETTINGS = flags.DEFINE_string(
+    "settings", "deploy/node.ini", "The nodes' INI file."
+)
+_PROFILE = flags.DEFINE_string(
+    "profile", "", "File for a profile of the first node."
+)
+
+_HOST = "emulator.example"
+_KEY = "emulator-key"
+_ROUTES = (
+    documents.RouteRow("read", _HOST, "/read/", "front"),
+    documents.RouteRow("write", _HOST, "/write/", "back", route_type="unsafe"),
+    documents.RouteRow("inner", _HOST, "/inner/", "back", is_public=True),
+)
+_PATHS = (("GET", "/read/1"), ("POST", "/write/1"))
+_START_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 10.0
+_BODY_LIMIT = 1024 * 1024
+_SLOW_FACTOR = 8.0
+
+
+class _Results:
+    """How requests ended."""
+
+    def __init__(self) -> None:
+        self.statuses: dict[str, int] = {}
+        self.latency_us = histogram.HdrHistogram(1, 60_000_000, 2)
+
+    def add(self, status: str, latency_s: float) -> None:
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        if status == "200":
+            self.latency_us.record_value(max(1, int(latency_s * 1e6)))
+
+
+def _start_node(
+    machine: machines.Machine, folder: str, store_address: str, profile: str
+) -> subprocess.Popen[bytes]:
+    path = pathlib.Path(folder) / f"{machine.name}.json"
+    path.write_bytes(machine.boot_file(store_address))
+    profiler = ["-m", "cProfile", "-o", profile] if profile else []
+    with (pathlib.Path(folder) / f"{machine.name}.log").open("ab") as log:
+        return subprocess.Popen(
+            [
+                sys.executable,
+                *profiler,
+                "-m",
+                "sassafras_platform",
+                f"--settings={_SETTINGS.value}",
+            ],
+            env={**os.environ, "SASSAFRASMOUNT_BOOT": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+
+async def _ask(
+    machine: machines.Machine, number: int, rng: random.Random, to: _Results
+) -> None:
+    method, path = rng.choice(_PATHS)
+    headers = (
+        ("host", _HOST),
+        ("request-id", f"e{number}"),
+        ("deadline-ms", "3000"),
+        ("authorization", f"Bearer {_KEY}"),
+    )
+    started = trio.current_time()
+    try:
+        connection = await client.ClientConnection.connect(
+            machine.address("Outbound"), "emulator.ask", _BODY_LIMIT, 1.0
+        )
+        try:
+            with trio.fail_after(4.0):
+                response = await connection.exchange(
+                    messages.Request(method, path, headers, b"")
+                )
+            status = str(response.status)
+        finally:
+            await connection.close()
+    except (errors.SassafrasError, trio.TooSlowError) as error:
+        status = type(error).__name__
+    to.add(status, trio.current_time() - started)
+
+
+async def _load(fleet: list[machines.Machine], results: _Results) -> None:
+    rng = random.Random(_SEED.value)
+    ends_at = trio.current_time() + _SECONDS.value
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < ends_at:
+            number += 1
+            nursery.start_soon(_ask, rng.choice(fleet), number, rng, results)
+            await trio.sleep(rng.expovariate(_RATE.value))
+
+
+async def _cause_fault(
+    store: store_standin.MetadataStore,
+    endpoints: list[endpoint.Endpoint],
+    nodes: list[subprocess.Popen[bytes]],
+) -> None:
+    await trio.sleep(_SECONDS.value / 3)
+    if _FAULT.value == "store-silent":
+        store.mode = store_standin.Mode.SILENT
+    elif _FAULT.value == "store-slow":
+        store.mode = store_standin.Mode.SLOW
+    elif _FAULT.value == "endpoint-slow":
+        endpoints[0].behaviour.slow = _SLOW_FACTOR
+    elif _FAULT.value == "node-kill":
+        nodes[-1].kill()
+    await trio.sleep(_SECONDS.value / 3)
+    store.mode = store_standin.Mode.NORMAL
+    endpoints[0].behaviour.slow = 1.0
+
+
+async def _await_ready(fleet: list[machines.Machine]) -> None:
+    ask = messages.Request("GET", "/sassafrasmount/ready", (), b"")
+    with trio.fail_after(_START_TIMEOUT_S):
+        for machine in fleet:
+            while True:
+                await trio.sleep(0.1)
+                try:
+                    connection = await client.ClientConnection.connect(
+                        machine.address("Ready"), "emulator.ready", 4096, 1.0
+                    )
+                    response = await connection.exchange(ask)
+                    await connection.close()
+                except errors.SassafrasError:
+                    # The node is still starting.
+                    continue
+                if response.status == 200:
+                    break
+    # Endpoints announce themselves, and nodes hear of each other.
+    await trio.sleep(2.0)
+
+
+async def _main_async() -> None:
+    services = ("front", "back")
+    fleet = [
+        machines.make_machine(
+            f"machine-{number}", f"zone-{number // 2 % 2}", services[number % 2]
+        )
+        for number in range(_MACHINES.value)
+    ]
+    store = store_standin.MetadataStore()
+    store_address = launcher.free_address()
+    store.put(
+        "op/config",
+        documents.configuration(
+            1, _ROUTES, (documents.TenantRow("emulator", (_KEY,)),)
+        ),
+    )
+    results = _Results()
+    nodes: list[subprocess.Popen[bytes]] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(store.run, store_address)
+                for machine in fleet:
+                    profile = "" if nodes else _PROFILE.value
+                    nodes.append(
+                        _start_node(machine, folder, store_address, profile)
+                    )
+                endpoints = [
+                    endpoint.Endpoint(
+                        machine.endpoint_settings(work_s=_WORK_MS.value / 1000)
+                    )
+                    for machine in fleet
+                ]
+                for server in endpoints:
+                    await nursery.start(server.run)
+                await _await_ready(fleet)
+                async with trio.open_nursery() as load:
+                    load.start_soon(_load, fleet, results)
+                    load.start_soon(_cause_fault, store, endpoints, nodes)
+                nursery.cancel_scope.cancel()
+        finally:
+            for node in nodes:
+                node.send_signal(signal.SIGTERM)
+            for node in nodes:
+                node.wait(_STOP_TIMEOUT_S)
+    _print(results, store)
+
+
+def _print(results: _Results, store: store_standin.MetadataStore) -> None:
+    for status, count in sorted(results.statuses.items()):
+        print(f"ended {status}: {count}")
+    for quantile in (50.0, 90.0, 99.0):
+        value = results.latency_us.get_value_at_percentile(quantile)
+        print(f"latency p{quantile:g}: {value / 1000:.1f} ms")
+    usage = resource.getrusage(resource.RUSAGE_CHILDREN)
+    spent_s = usage.ru_utime + usage.ru_stime
+    total = sum(results.statuses.values())
+    print(f"node CPU: {spent_s * 1000 / max(1, total):.2f} ms a request")
+    print(f"node memory, largest: {usage.ru_maxrss / 1024:.1f} MB")
+    print(f"store calls: {sum(store.calls.values())}")
+
+
+def _main(argv: list[str]) -> None:
+    del argv
+    trio.run(_main_async)
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/documents.py
@@ -0,0 +1,149 @@
+"""Configurations and settings files as the platform writes them."""
+
+import dataclasses
+import json
+from typing import Any
+
+_ROUTE_COLUMNS = (
+    "Name",
+    "Host",
+    "Prefix",
+    "RouteType",
+    "TimeoutMs",
+    "TargetLatencyMs",
+    "Priority",
+    "WeightedBackends",
+    "MaxAttempts",
+    "Public",
+    "Service",
+)
+_TENANT_COLUMNS = ("Name", "ApiKeys", "Priority", "RatePerS", "Burst")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteRow:
+    """One route of a configuration; see the platform's pages."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str | None = None
+    route_type: str = "safe"
+    timeout_ms: int = 2000
+    priority: int = 0
+    weights: tuple[tuple[str, int], ...] = ()
+    most_targets: int = 2
+    is_public: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TenantRow:
+    """One tenant of a configuration."""
+
+    name: str
+    keys: tuple[str, ...]
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+
+def configuration(
+    version: int,
+    routes: tuple[RouteRow, ...],
+    tenants: tuple[TenantRow, ...] = (),
+) -> bytes:
+    """Returns a configuration as it lies in the store."""
+    content: dict[str, Any] = {
+        "Version": f"r{version}",
+        "Routes": {
+            "Columns": list(_ROUTE_COLUMNS),
+            "Rows": [_route(route) for route in routes],
+        },
+        "Services": {"Columns": ["Name"], "Rows": []},
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 67108864,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
+    if tenants:
+        content["Tenants"] = {
+            "Columns": list(_TENANT_COLUMNS),
+            "Rows": [
+                [t.name, list(t.keys), t.priority, t.rate_per_s, t.burst]
+                for t in tenants
+            ],
+        }
+    return json.dumps(content).encode()
+
+
+def _route(route: RouteRow) -> list[Any]:
+    weights = [
+        {"Service": service, "Weight": weight}
+        for service, weight in route.weights
+    ]
+    return [
+        route.name,
+        route.host,
+        route.prefix,
+        route.route_type,
+        route.timeout_ms,
+        1000,
+        route.priority,
+        weights or None,
+        route.most_targets,
+        route.is_public,
+        route.service,
+    ]
+
+
+def boot_file(
+    *,
+    node: str,
+    zone: str,
+    ip: str,
+    ports: dict[str, int],
+    target_address: str,
+    service: str,
+    store_address: str,
+) -> bytes:
+    """Returns a settings file.
+
+    Args:
+      node: Name of the machine.
+      zone: Its zone.
+      ip: Its address.
+      ports: Ports by `Outbound`, `Ready`, `Control` and `Internal`.
+      target_address: Where the endpoint beside the node serves.
+      service: Service of that endpoint.
+      store_address: Address of the store.
+    """
+    return json.dumps(
+        {
+            "Node": node,
+            "Ip": ip,
+            "Zone": zone,
+            "ListenAddresses": {
+                name: f"{ip}:{ports[name]}"
+                for name in ("Outbound", "Ready", "Control")
+            },
+            "InternalPorts": [ports["Internal"], ports["Internal"] + 15],
+            "Limits": {"MemoryMb": 300, "MaxFds": 4100},
+            "HeartbeatMs": 500,
+            "Bounds": [
+                "ConfigApplyMs=2000",
+                "RevokeMs=5000",
+                "DrainMs=2000",
+                "GraceS=6",
+                "RetryBudgetRatio=0.2",
+                "BudgetWindowS=10",
+                "BudgetExtra=48",
+                "QuotaOver=0.1",
+                "QuotaSlack=20",
+            ],
+            "AppAddress": target_address,
+            "Service": service,
+            "Provider": {"Address": store_address, "TtlMinMs": 1000},
+        }
+    ).encode()
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/store.py
@@ -0,0 +1,293 @@
+"""The platform's metadata store: keys, leases, watches, and its faults."""
+
+import base64
+import collections
+import dataclasses
+import enum
+import json
+from typing import Any
+from urllib import parse
+
+import trio
+
+from sassafras_policy.calls import messages
+from sassafras_standins import serving
+
+_EXPIRY_INTERVAL_S = 0.05
+_MOST_ENTRIES = 32
+_LOST_REPLY_S = 3600.0
+
+
+class Mode(enum.StrEnum):
+    """How the store behaves."""
+
+    NORMAL = "normal"
+    SILENT = "silent"
+    BUSY = "busy"
+    SLOW = "slow"
+    LOSES_ANSWERS = "loses-answers"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    ends_at: float
+
+
+class MetadataStore:
+    """Serves the store's calls over one set of keys.
+
+    Attributes:
+      mode: How it behaves.
+      delay_s: Delay of each answer while it is slow.
+      calls: Calls by method and path.
+      pauses_leases: Whether leases stand still while it is silent or busy.
+    """
+
+    def __init__(self) -> None:
+        self.mode = Mode.NORMAL
+        self.delay_s = 0.2
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.pauses_leases = False
+        self._revision = 1
+        self._oldest = 0
+        self._items: dict[str, _Item] = {}
+        self._history: list[dict[str, Any]] = []
+        self._leases: dict[int, _Lease] = {}
+        self._next_lease = 77_000
+        self._changed = trio.Event()
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def keys(self, prefix: str) -> list[str]:
+        """Returns the keys that begin with a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Writes a key, as the operator does."""
+        self._write(key, base64.b64encode(value).decode(), lease)
+        self._wake()
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        if self._items.pop(key, None) is not None:
+            self._revision += 1
+            self._history.append(
+                {"Key": key, "Revision": self._revision, "Removed": True}
+            )
+            self._wake()
+
+    def compact(self) -> None:
+        """Drops the history and cuts the watches that wait."""
+        self._oldest = self._revision
+        self._history.clear()
+        self._wake()
+
+    async def run(
+        self,
+        address: str,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serving.listen, address, self.handle)
+            nursery.start_soon(self._expire_forever)
+            task_status.started()
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        """Serves one call under the fault in force."""
+        path = request.path_without_query
+        self.calls[f"{request.method} {path}"] += 1
+        if self.mode is Mode.SILENT:
+            await trio.sleep(_LOST_REPLY_S)
+        if self.mode is Mode.BUSY:
+            return serving.answer(b"{}", 503)
+        if self.mode is Mode.SLOW:
+            await trio.sleep(self.delay_s)
+        is_write = request.method != "GET"
+        answer = await self._dispatch(request)
+        if is_write and self.mode is Mode.LOSES_ANSWERS:
+            await trio.sleep(_LOST_REPLY_S)
+        return answer
+
+    async def _dispatch(self, request: messages.Request) -> messages.Answer:
+        call = request.path_without_query.removeprefix("/sassafrasmount/")
+        query = dict(parse.parse_qsl(request.path.partition("?")[2]))
+        name, _, rest = call.partition("/")
+        if name == "kv-key":
+            return self._key(query["Key"])
+        if name == "kv-range":
+            return self._range(query["Prefix"])
+        if name == "kv-watch":
+            return await self._watch(
+                query["Prefix"], int(query["after"]), int(query["WaitMs"])
+            )
+        if name == "kv-txn":
+            return self._transaction(json.loads(request.body))
+        if name == "kv-lease":
+            return self._grant(json.loads(request.body)["TtlMs"])
+        if name == "kv-keep":
+            return self._keep(int(rest))
+        if name == "kv-lease-end":
+            return self._end(int(rest))
+        return serving.answer(b"{}", 404)
+
+    def _key(self, key: str) -> messages.Answer:
+        item = self._items.get(key)
+        if item is None:
+            return _json({"CurrentRev": self._revision}, 404)
+        return _json(_row(key, item) | {"CurrentRev": self._revision})
+
+    def _range(self, prefix: str) -> messages.Answer:
+        rows = [_row(key, self._items[key]) for key in self.keys(prefix)]
+        return _json(
+            {"items": rows, "MorePages": False, "CurrentRev": self._revision}
+        )
+
+    async def _watch(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> messages.Answer:
+        with trio.move_on_after(wait_ms / 1000):
+            while True:
+                if after < self._oldest:
+                    return serving.answer(b"{}", 410)
+                changed = self._changed
+                events = self._events(prefix, after)
+                if events:
+                    break
+                await changed.wait()
+        return _json(
+            {
+                "events": self._events(prefix, after),
+                "CurrentRev": self._revision,
+            }
+        )
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._history
+            if event["Revision"] > after and event["Key"].startswith(prefix)
+        ]
+
+    def _transaction(self, content: dict[str, Any]) -> messages.Answer:
+        expected = content.get("ExpectedRevision", [])
+        writes = content.get("Writes", [])
+        removed = content.get("Remove", [])
+        if len(expected) + len(writes) + len(removed) > _MOST_ENTRIES:
+            return serving.answer(b"{}", 400)
+        if any(
+            key.startswith(("op/", "servers/"))
+            for key in [*(write["Key"] for write in writes), *removed]
+        ):
+            return serving.answer(b"{}", 403)
+        conflicts = [
+            row
+            for row in expected
+            if self._revision_of(row["Key"]) != row["Revision"]
+        ]
+        if conflicts:
+            return _json(
+                {
+                    "items": [
+                        _row(row["Key"], self._items[row["Key"]])
+                        for row in expected
+                        if row["Key"] in self._items
+                    ]
+                },
+                412,
+            )
+        for write in writes:
+            if write.get("Lease", 0) and write["Lease"] not in self._leases:
+                return serving.answer(b"{}", 404)
+        for write in writes:
+            self._write(write["Key"], write["Value"], write.get("Lease", 0))
+        for key in removed:
+            self.remove(key)
+        self._wake()
+        return _json({"Revision": self._revision})
+
+    def _grant(self, ttl_ms: int) -> messages.Answer:
+        self._next_lease += 1
+        ttl_s = ttl_ms / 1000
+        self._leases[self._next_lease] = _Lease(
+            ttl_s, trio.current_time() + ttl_s
+        )
+        return _json({"Lease": self._next_lease, "TtlMs": ttl_ms})
+
+    def _keep(self, lease: int) -> messages.Answer:
+        found = self._leases.get(lease)
+        if found is None:
+            return serving.answer(b"{}", 404)
+        found.ends_at = trio.current_time() + found.ttl_s
+        return _json({"TtlMs": int(found.ttl_s * 1000)})
+
+    def _end(self, lease: int) -> messages.Answer:
+        if self._leases.pop(lease, None) is None:
+            return serving.answer(b"{}", 404)
+        self._remove_keys_of(lease)
+        return _json({})
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await trio.sleep(_EXPIRY_INTERVAL_S)
+            if self.pauses_leases and self.mode in (Mode.SILENT, Mode.BUSY):
+                for lease in self._leases.values():
+                    lease.ends_at += _EXPIRY_INTERVAL_S
+                continue
+            now = trio.current_time()
+            for number, lease in list(self._leases.items()):
+                if lease.ends_at <= now:
+                    del self._leases[number]
+                    self._remove_keys_of(number)
+
+    def _remove_keys_of(self, lease: int) -> None:
+        for key, item in list(self._items.items()):
+            if item.lease == lease:
+                self.remove(key)
+
+    def _revision_of(self, key: str) -> int:
+        item = self._items.get(key)
+        return item.revision if item else 0
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        self._revision += 1
+        known = self._items.get(key)
+        item = _Item(
+            value,
+            self._revision,
+            known.created if known else self._revision,
+            lease,
+        )
+        self._items[key] = item
+        self._history.append(_row(key, item))
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+
+
+def _row(key: str, item: _Item) -> dict[str, Any]:
+    return {
+        "Key": key,
+        "Value": item.value,
+        "Revision": item.revision,
+        "Created": item.created,
+        "Lease": item.lease,
+    }
+
+
+def _json(content: dict[str, Any], status: int = 200) -> messages.Answer:
+    return serving.answer(json.dumps(content).encode(), status)
--- /dev/null
+++ b/tests/common/mesh_fleet.py
@@ -0,0 +1,204 @@
+"""Mesh nodes, endpoints and the store of the platform, in one process."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import pathlib
+import random
+
+import trio
+
+from common import waiting
+from sassafras_base import clock as clocks
+from sassafras_node.mesh import interfaces
+from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh import supervisor
+from sassafras_platform import announcements
+from sassafras_platform import boot
+from sassafras_platform import front_end
+from sassafras_platform import store as platform_store
+from sassafras_policy.calls import messages
+from sassafras_standins.fleet import launcher
+from sassafras_standins.platform import documents
+from sassafras_standins.platform import endpoint
+from sassafras_standins.platform import machines
+from sassafras_standins.platform import store as store_standin
+from sassafras_wire.http import client
+from sassafras_wire.settings import node as node_settings
+
+HOST = "shop.example"
+KEY = "key-of-acme"
+SAFE = documents.RouteRow("safe", HOST, "/read/", "front")
+UNSAFE = documents.RouteRow(
+    "unsafe", HOST, "/write/", "front", route_type="unsafe"
+)
+OPEN = documents.RouteRow("open", HOST, "/open/", "front", is_public=True)
+TENANT = documents.TenantRow("acme", (KEY,), rate_per_s=1000, burst=1000)
+_BODY_LIMIT = 1024 * 1024
+
+
+class Fleet:
+    """What a test can reach.
+
+    Attributes:
+      store: The store stand-in.
+      machines: The machines.
+      endpoints: The endpoint of each machine, by its name.
+      nodes: The state of each node, by its name.
+    """
+
+    def __init__(self, nursery: trio.Nursery, folder: pathlib.Path) -> None:
+        self.store = store_standin.MetadataStore()
+        self.store_address = launcher.free_address()
+        self.machines: dict[str, machines.Machine] = {}
+        self.endpoints: dict[str, endpoint.Endpoint] = {}
+        self.nodes: dict[str, runtimes.Runtime] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery = nursery
+        self._folder = folder
+        self._numbers = 0
+
+    async def add_machine(
+        self, name: str, zone: str = "zone-a", service: str = "front", **changes
+    ) -> machines.Machine:
+        machine = machines.make_machine(name, zone, service)
+        self.machines[name] = machine
+        await self.start_node(name)
+        server = endpoint.Endpoint(machine.endpoint_settings(**changes))
+        self.endpoints[name] = server
+        await self._nursery.start(server.run)
+        return machine
+
+    async def start_node(self, name: str) -> None:
+        """Starts the node of a machine, as after a kill."""
+        machine = self.machines[name]
+        path = self._folder / f"{name}.json"
+        path.write_bytes(machine.boot_file(self.store_address))
+        settings = boot.load(
+            path,
+            node_settings.PolicySection(
+                admission="adaptive", limiter="pooled-share"
+            ),
+        )
+        platform = interfaces.Platform(
+            store=platform_store.Store(self.store_address),
+            front_end=front_end.FrontEnd(),
+            codecs=announcements.Codecs(),
+        )
+        node = runtimes.Runtime(
+            settings, platform, clocks.SystemClock(), random.Random(1)
+        )
+        self.nodes[name] = node
+        self._scopes[name] = trio.CancelScope()
+        await self._nursery.start(self._run, name, node)
+
+    def kill_node(self, name: str) -> None:
+        """Ends a node at once, without a word to others."""
+        self._scopes[name].cancel()
+
+    async def until_settled(self) -> None:
+        """Waits until every node knows all others and all endpoints."""
+
+        def is_settled() -> bool:
+            return all(
+                len(node.fleet) == len(self.nodes) - 1
+                and all(entry.service for entry in node.fleet.entries)
+                and node.target.is_serving
+                for node in self.nodes.values()
+            )
+
+        await _until(is_settled, "nodes know each other")
+
+    def configure(
+        self,
+        version: int,
+        routes: tuple[documents.RouteRow, ...] = (SAFE, UNSAFE, OPEN),
+        tenants: tuple[documents.TenantRow, ...] = (TENANT,),
+    ) -> None:
+        self.store.put(
+            "op/config", documents.configuration(version, routes, tenants)
+        )
+
+    async def until_version(self, version: int) -> None:
+        await _until(
+            lambda: all(n.version == version for n in self.nodes.values()),
+            f"version {version} everywhere",
+        )
+
+    async def ask(
+        self,
+        name: str,
+        path: str = "/read/1",
+        method: str = "GET",
+        key: str | None = KEY,
+        request_id: str | None = None,
+        deadline_ms: int = 5000,
+        body: bytes = b"",
+        **more: str,
+    ) -> client.Response:
+        """Sends a request as a client on a machine does."""
+        self._numbers += 1
+        headers = [
+            ("host", HOST),
+            ("request-id", request_id or f"request-{self._numbers}"),
+            ("deadline-ms", str(deadline_ms)),
+            *(
+                (field.replace("_", "-"), value)
+                for field, value in more.items()
+            ),
+        ]
+        if key is not None:
+            headers.append(("authorization", f"Bearer {key}"))
+        address = self.machines[name].address("Outbound")
+        connection = await client.ClientConnection.connect(
+            address, "test.ask", _BODY_LIMIT, 1.0
+        )
+        try:
+            return await connection.exchange(
+                messages.Request(method, path, tuple(headers), body)
+            )
+        finally:
+            await connection.close()
+
+    def runs(self, request_id: str) -> int:
+        """Returns how often a request was run by all endpoints together."""
+        return sum(e.runs.get(request_id, 0) for e in self.endpoints.values())
+
+    async def _run(
+        self,
+        name: str,
+        node: runtimes.Runtime,
+        *,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        with self._scopes[name]:
+            await supervisor.run(node, task_status=task_status)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    folder: pathlib.Path, *, version: int = 1, **options
+) -> AsyncIterator[Fleet]:
+    """Runs a fleet's store with a configuration; a test adds machines."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, folder)
+        await nursery.start(fleet.store.run, fleet.store_address)
+        if version:
+            fleet.configure(version, **options)
+        try:
+            yield fleet
+        finally:
+            nursery.cancel_scope.cancel()
+
+
+async def _until(condition, what: str) -> None:
+    async def check() -> bool:
+        return condition()
+
+    await waiting.until(check, what)
+
+
+def header(response: client.Response, name: str) -> str | None:
+    for key, value in response.headers:
+        if key == name:
+            return value
+    return None
--- /dev/null
+++ b/tests/mesh/test_decisions.py
@@ -0,0 +1,165 @@
+"""Decisions of a mesh node, without sockets."""
+
+import collections
+
+from sassafras_policy.configuration import document
+from sassafras_policy.mesh import configuration
+from sassafras_policy.mesh import fleet
+from sassafras_policy.mesh import freshness
+from sassafras_policy.mesh import routing
+from sassafras_policy.mesh import spending
+from sassafras_policy.mesh import targets
+
+_LIMITS = configuration.CallerLimits(16384, 1 << 20, 3.0, 15.0)
+
+
+def _route(name, prefix, shares=(("front", 1.0),), host="shop.example"):
+    return configuration.Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        is_idempotent=True,
+        timeout_s=1.0,
+        objective_s=1.0,
+        priority=0,
+        shares=tuple(configuration.Share(s, w) for s, w in shares),
+        most_targets=2,
+        is_open=False,
+    )
+
+
+def _table(*routes, organisations=()):
+    return routing.RoutingTable(
+        configuration.Configuration(1, routes, organisations, _LIMITS)
+    )
+
+
+def test_the_longest_prefix_of_the_host_selects_the_route():
+    """Guards against a route of another host, or a part of a segment."""
+    table = _table(
+        _route("all", "/"),
+        _route("a", "/a/"),
+        _route("ab", "/a/b/"),
+        _route("other", "/a/b/c/", host="other.example"),
+    )
+    assert table.find("shop.example", "/a/b/c/d").name == "ab"
+    assert table.find("SHOP.example", "/a/bc").name == "a"
+    assert table.find("shop.example", "/ab?x=/a/").name == "all"
+    assert table.find("none.example", "/a/") is None
+
+
+def test_weights_hold_in_every_short_window():
+    """Guards against shares that are kept on average only."""
+    table = _table(_route("w", "/", (("x", 90.0), ("y", 10.0))))
+    route = table.find("shop.example", "/")
+    dealt = [table.service_for(route) for _ in range(400)]
+    for start in range(0, 400, 20):
+        window = collections.Counter(dealt[start : start + 20])
+        assert window["y"] == 2
+
+
+def test_keys_are_found_by_their_digest_only():
+    """Guards against keys that are kept in the clear."""
+    account = document.Organisation(
+        "acme", 1.0, 1.0, (document.Key("k", routing.digest_of("secret")),)
+    )
+    table = _table(organisations=(configuration.Organisation(account, None),))
+    assert table.organisation_of("secret").account.name == "acme"
+    assert table.organisation_of("other") is None
+    assert "secret" not in repr(account)
+
+
+def _announcement(sequence, *, started_ms=1000, state="ready", target_id="i"):
+    return targets.Announcement(
+        target_id,
+        "front",
+        "h:1",
+        8,
+        targets.State(state),
+        0,
+        sequence,
+        started_ms,
+    )
+
+
+def test_late_announcements_change_nothing():
+    """Guards against an endpoint that comes back by an old message."""
+    register = targets.BesideRegister()
+    assert register.offer(_announcement(5, started_ms=2000, target_id="new"))
+    assert not register.offer(_announcement(9, target_id="old"))
+    assert not register.offer(
+        _announcement(4, started_ms=2000, target_id="new")
+    )
+    assert register.leave("new")
+    assert not register.offer(
+        _announcement(6, started_ms=2000, target_id="new")
+    )
+    assert register.offer(_announcement(1, started_ms=3000, target_id="new"))
+
+
+def test_a_deregistration_of_an_earlier_target_is_ignored():
+    """Guards against a late message that takes the new target away."""
+    register = targets.BesideRegister()
+    register.offer(_announcement(1, target_id="new"))
+    assert not register.leave("old")
+    assert register.current.state is targets.State.READY
+
+
+def test_keys_are_not_trusted_beyond_the_revocation_bound():
+    """Guards against a process that wakes from a freeze and serves keys."""
+    proof = freshness.Freshness(revocation_s=5.0)
+    assert not proof.permits_keys(0.0)
+    proof.confirm(10.0)
+    proof.confirm(8.0)
+    assert proof.permits_keys(13.9)
+    assert not proof.permits_keys(14.0)
+
+
+def _entry(node_id, incarnation=1, service="front"):
+    return targets.NodeEntry(
+        node_id,
+        incarnation,
+        "zone",
+        "h:1",
+        "h:2",
+        False,
+        targets.Announcement(
+            "i", service, "h:3", 8, targets.State.READY, 0, 1, 1
+        ),
+    )
+
+
+def test_a_lapsed_entry_stays_until_live_nodes_could_write_it_again():
+    """Guards against a fleet that forgets itself in an outage of the store."""
+    members = fleet.Fleet("own", return_s=2.5)
+    members.publish(_entry("own"))
+    members.publish(_entry("a"))
+    members.publish(_entry("b"))
+    members.keep_only(set(), 100.0)
+    assert members.expire(102.0) == []
+    assert len(members.serving("front")) == 2
+    members.publish(_entry("a"))
+    assert members.expire(102.5) == ["b"]
+    assert [e.node_id for e in members.serving("front")] == ["a"]
+
+
+def test_news_of_an_earlier_process_do_not_replace_those_of_the_next():
+    """Guards against a late message of a node that has restarted."""
+    members = fleet.Fleet("own", return_s=2.5)
+    members.publish(_entry("a", incarnation=2, service="back"))
+    members.publish(_entry("a", incarnation=1))
+    assert members.serving("front") == []
+
+
+def test_the_sends_of_all_nodes_together_stay_within_the_shared_budget():
+    """Guards against repeats that add up over the fleet."""
+    nodes = 17
+    budgets = [spending.Spending(0.2, 48.0, 10.0) for _ in range(nodes)]
+    sent = requests = 0
+    for budget in budgets:
+        budget.set_nodes(nodes)
+        for number in range(100):
+            budget.count_request("front", number / 10)
+            requests += 1
+            sent += budget.take("front", number / 10)
+    assert 0 < sent <= 0.2 * requests + 48
--- /dev/null
+++ b/tests/mesh/test_whole_path.py
@@ -0,0 +1,157 @@
+"""Whole requests through one and two nodes, with the platform's formats."""
+
+import pytest
+import trio
+
+from common import mesh_fleet
+from common import waiting
+from sassafras_standins.platform import documents
+from sassafras_standins.platform import endpoint
+
+pytestmark = pytest.mark.loopback
+
+
+async def test_a_request_reaches_the_endpoint_with_the_fields_of_the_node(
+    tmp_path,
+):
+    """Guards against a key, or a forged field, that reaches an endpoint."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        await fleet.until_settled()
+        answer = await fleet.ask(
+            "one",
+            request_id="r1",
+            tenant="forged",
+            caller_service="forged",
+            target_instance="forged",
+        )
+        seen = fleet.endpoints["one"].seen["r1"]
+    assert (answer.status, answer.body) == (200, b"whole body")
+    assert mesh_fleet.header(answer, "response-signature") is not None
+    assert "authorization" not in seen
+    assert seen["tenant"] == "acme"
+    assert seen["caller-service"] == "front"
+    assert seen["target-instance"] == fleet.endpoints["one"].target_id
+    assert 0 < int(seen["deadline-ms"]) <= 2000
+
+
+async def test_a_request_for_another_service_goes_through_its_node(tmp_path):
+    """Guards against calls that stay at their first node, and lost bodies."""
+    other = documents.RouteRow(
+        "other", mesh_fleet.HOST, "/other/", "back", route_type="unsafe"
+    )
+    async with mesh_fleet.running(tmp_path, routes=(other,)) as fleet:
+        await fleet.add_machine("one")
+        await fleet.add_machine("two", zone="zone-b", service="back")
+        await fleet.until_settled()
+        answer = await fleet.ask(
+            "one", "/other/1", "POST", request_id="r1", body=b"content"
+        )
+        seen = fleet.endpoints["two"].seen["r1"]
+    assert (answer.status, answer.body) == (200, b"content")
+    # The service on the machine where the request began.
+    assert seen["caller-service"] == "front"
+    assert not [name for name in seen if name.startswith("sassafras-")]
+
+
+async def test_a_call_of_an_endpoint_needs_no_key(tmp_path):
+    """Guards against sub-calls that are refused for want of a key."""
+    inner = documents.RouteRow(
+        "inner", mesh_fleet.HOST, "/inner/", "back", is_public=True
+    )
+    async with mesh_fleet.running(
+        tmp_path, routes=(mesh_fleet.SAFE, inner)
+    ) as fleet:
+        await fleet.add_machine(
+            "one",
+            sub_calls=(endpoint.SubCall(mesh_fleet.HOST, "/inner/1"),),
+        )
+        await fleet.add_machine("two", service="back")
+        await fleet.until_settled()
+        answer = await fleet.ask("one", request_id="r1")
+        seen = fleet.endpoints["two"].seen["r1-0"]
+    assert answer.status == 200
+    assert "tenant" not in seen
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/1", None, 401),
+        ("/read/1", "unknown", 401),
+        ("/none/1", mesh_fleet.KEY, 404),
+        ("/open/1", None, 200),
+    ],
+)
+async def test_only_what_the_configuration_allows_runs(
+    tmp_path, path, key, status
+):
+    """Guards against requests that run without a route or a key."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        await fleet.until_settled()
+        answer = await fleet.ask("one", path, key=key, request_id="r1")
+        assert answer.status == status
+        assert fleet.runs("r1") == (status == 200)
+
+
+async def test_a_newer_configuration_is_in_force_at_all_nodes(tmp_path):
+    """Guards against withdrawn keys and dropped routes that stay in use."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        await fleet.add_machine("two")
+        await fleet.until_settled()
+        replaced = documents.TenantRow("acme", ("another-key",))
+        fleet.configure(7, (mesh_fleet.SAFE,), (replaced,))
+        await fleet.until_version(7)
+        for name in ("one", "two"):
+            assert (await fleet.ask(name)).status == 401
+            assert (await fleet.ask(name, key="another-key")).status == 200
+            assert (await fleet.ask(name, "/open/1")).status == 404
+
+
+async def test_an_older_configuration_changes_nothing(tmp_path):
+    """Guards against a version that goes back."""
+    async with mesh_fleet.running(tmp_path, version=5) as fleet:
+        await fleet.add_machine("one")
+        await fleet.until_version(5)
+        fleet.configure(4, ())
+        fleet.configure(6)
+        await fleet.until_version(6)
+        assert (await fleet.ask("one", "/none/")).status == 404
+
+
+async def test_a_node_without_a_configuration_is_not_ready(tmp_path):
+    """Guards against a 404 or 401 from a node that knows nothing yet."""
+    async with mesh_fleet.running(tmp_path, version=0) as fleet:
+        await fleet.add_machine("one")
+        assert not fleet.nodes["one"].is_ready
+        answer = await fleet.ask("one")
+        assert answer.status == 503
+        assert float(mesh_fleet.header(answer, "retry-after") or 0) > 0
+
+
+async def test_a_planned_stop_ends_requests_in_flight_and_tells_others(
+    tmp_path,
+):
+    """Guards against answers lost in a stop, and calls to a node that left."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one", work_s=0.5)
+        await fleet.add_machine("two", work_s=0.01)
+        await fleet.until_settled()
+        statuses = []
+
+        async def ask():
+            statuses.append((await fleet.ask("one")).status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            fleet.nodes["one"].drain.requested.set()
+        assert statuses == [200]
+
+        async def is_told():
+            return not fleet.nodes["two"].fleet.serving("front")
+
+        await waiting.until(is_told, "the other node hears of the stop")
+        assert not fleet.nodes["one"].is_ready
