Refuse at the first node what an overloaded service below would fail

Requests far over their rate waited 50 ms for tokens. Change: answers carry the lowest admission level of a service and of all that it calls; the first node refuses by it. A wait for tokens that cannot come ends at once. Pings between nodes every 2 s.

--- a/packages/sassafras-node/src/sassafras_node/limits/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/gate.py
@@ -61,6 +61,10 @@
         if not line.waiting and self.limiter.take(organisation, now):
             self._plan(organisation, line, now)
             return None
+        if not self.limiter.is_worth_waiting(
+            organisation, _LONGEST_WAIT_S, now
+        ):
+            return self.limiter.due_in_s(organisation, line.waiting, now)
         line.waiting += 1
         try:
             with trio.move_on_after(_LONGEST_WAIT_S):
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -21,7 +21,7 @@
 _VERDICT_GRACE_S = 0.05
 # Nodes asked for a place before a call is refused. A refusal of a node has
 # not reached its target, so it uses nothing of the shared budget.
-_MOST_REFUSALS = 3
+_MOST_REFUSALS = 2
 # Time for a second run to be of use.
 _SMALLEST_REMAINDER_S = 0.05
 
@@ -77,7 +77,15 @@
 async def _send_until_final(
     runtime: runtimes.Runtime, call: calls.Call, trail: Trail
 ) -> messages.Answer:
-    runtime.spending.count_request(call.service, runtime.clock.now())
+    now = runtime.clock.now()
+    runtime.spending.count_request(call.service, now)
+    if runtime.is_shed(call):
+        # Refused here, before a node of the service spends time on it.
+        return messages.refusal(
+            outcomes.Reason.OVERLOAD,
+            503,
+            f"service {call.service}, or one that it calls, is overloaded",
+        )
     answer: messages.Answer | None = None
     while True:
         entry = _choose(runtime, call, trail)
@@ -97,6 +105,8 @@
             trail.progress.may_have_run |= may_have_run
         if answer.outcome is outcomes.Outcome.NOT_RUN:
             trail.progress.may_have_run = may_have_run
+        for service, level in answer.levels:
+            runtime.heard_levels.heard(service, level, runtime.clock.now())
         if not _may_send_again(runtime, call, trail, answer):
             return answer
 
@@ -187,7 +197,7 @@
         response = await runtime.call_pools.exchange(
             entry.call_address, request, progress
         )
-        answer = call_codec.decode_answer(response, entry.node_id)
+        answer = call_codec.decode_answer(response, entry.node_id, call.service)
     except errors.UnreachableError as error:
         views.failed(entry.node_id)
         return messages.refusal(outcomes.Reason.UNREACHABLE, 503, str(error))
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -54,6 +54,8 @@
         call = None
     else:
         call = admitted
+        if call.context.depth:
+            runtime.called_services.add(call.service)
         answer = await dispatch.dispatch(runtime, call, trail)
         if call.context.depth and answer.status >= 500:
             runtime.sub_call_failed_at = runtime.clock.now()
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -58,7 +58,11 @@
             f"the target of service {call.service} has no room",
             retry_after_ms=levels.retry_after_ms(call.context.rank, gate.level),
         )
-    return dataclasses.replace(answer, load=gate.load)
+    return dataclasses.replace(
+        answer,
+        load=gate.load,
+        levels=((call.service, runtime.effective_level()),),
+    )
 
 
 async def _exchange(
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -13,7 +13,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 # Often enough that a node that the store turns away learns of a withdrawn key
 # in time; costs two small messages for each pair of nodes.
-_PING_INTERVAL_S = 1.0
+_PING_INTERVAL_S = 2.0
 _ANSWER_TIMEOUT_S = 1.5
 _FIRST_RETRY_S = 0.2
 _LONGEST_RETRY_S = 1.0
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -15,9 +15,11 @@
 from sassafras_node.mesh.peers import call_pools
 from sassafras_node.mesh.targets import beside
 from sassafras_node.peers import views
+from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import roster as rosters
+from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import configuration
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
@@ -57,6 +59,8 @@
       limiter: Rates of organisations.
       limit_gate: Admission by the limiter.
       call_pools: Connections for calls to other nodes.
+      heard_levels: Admission levels of services, learnt from answers.
+      called_services: Services that the target beside the node has called.
       drain: Work in flight and planned stop.
       measurements: Counters and latencies.
       sub_call_failed_at: When a call of the target beside last failed.
@@ -95,6 +99,8 @@
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
         self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
         self.call_pools = call_pools.CallPools()
+        self.heard_levels = levels.HeardLevels()
+        self.called_services: set[str] = set()
         self.drain = drains.make_drain()
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
@@ -219,6 +225,36 @@
         if isinstance(self.limiter, limiters.DemandListener):
             self.limiter.forget(node_id)
 
+    def effective_level(self) -> int:
+        """Returns the admission level of the target and of all that it calls.
+
+        Each service passes on the lowest level below it, so that the first
+        node refuses what would fail further on. Services that call each other
+        in a circle would keep their levels down; the levels open in silence.
+        """
+        now = self.clock.now()
+        level = self.target.gate.level
+        opened = self.target.gate.open_level
+        for service in self.called_services:
+            heard = self.heard_levels.value(service, opened, now)
+            level = min(level, int(heard))
+        return level
+
+    def is_shed(self, call: calls.Call) -> bool:
+        """Returns whether a new request is refused for the levels heard.
+
+        A call of a target is not: the work done for its request would be lost.
+        """
+        if call.context.depth:
+            return False
+        refusing = self.heard_levels.refusing(
+            frozenset([call.service]),
+            call.context,
+            self.target.gate.open_level,
+            self.clock.now(),
+        )
+        return refusing is not None
+
     def publish_entry(self) -> None:
         """Wakes the tasks that tell others about this node."""
         changed, self.entry_changed = self.entry_changed, trio.Event()
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -74,6 +74,11 @@
         """The admission level; calls of this rank and above are refused."""
         return self._policy.level(self._clock.now())
 
+    @property
+    def open_level(self) -> int:
+        """The level at which every call is admitted."""
+        return self._policy.open_level
+
     def resize(self, slots: int, class_count: int) -> None:
         """Takes over new numbers of announced slots and of classes."""
         self._policy.resize(slots, class_count)
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -94,6 +94,12 @@
         """Returns when a token is likely to be there, with others waiting."""
         ...
 
+    def is_worth_waiting(
+        self, organisation: str, longest_s: float, now: float
+    ) -> bool:
+        """Returns whether a token may come within a time."""
+        ...
+
     def plan(
         self, organisation: str, waiting: int, now: float
     ) -> tuple[exchanges.Ask, ...]:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -120,6 +120,19 @@
             return min(due_s, pool.due_in_s(waiting + 1, now))
         return min(due_s, max(purse.next_at - now, 0.0) + _AHEAD_S)
 
+    def is_worth_waiting(
+        self, organisation: str, longest_s: float, now: float
+    ) -> bool:
+        """See Limiter."""
+        purse = self._purses.get(organisation)
+        if purse is None:
+            return False
+        if purse.keeper != self._own_id and (
+            purse.asked or purse.next_at - now <= longest_s
+        ):
+            return True
+        return self.due_in_s(organisation, 0, now) <= longest_s
+
     def plan(
         self, organisation: str, waiting: int, now: float
     ) -> tuple[exchanges.Ask, ...]:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -107,6 +107,12 @@
             return _UNKNOWN_ORGANISATION_DUE_S
         return bucket.due_in_s(waiting + 1, now)
 
+    def is_worth_waiting(
+        self, organisation: str, longest_s: float, now: float
+    ) -> bool:
+        """See Limiter."""
+        return self.due_in_s(organisation, 0, now) <= longest_s
+
     def plan(
         self, organisation: str, waiting: int, now: float
     ) -> tuple[exchanges.Ask, ...]:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
@@ -172,6 +172,13 @@
         due_s = first_s + (others_s if waiting else 0.0)
         return min(_LONGEST_DUE_S, max(_SHORTEST_DUE_S, due_s))
 
+    def is_worth_waiting(
+        self, organisation: str, longest_s: float, now: float
+    ) -> bool:
+        """See Limiter; any holder may answer an ask with tokens."""
+        del organisation, longest_s, now
+        return True
+
     def plan(
         self, organisation: str, waiting: int, now: float
     ) -> tuple[exchanges.Ask, ...]:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_codec.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_codec.py
@@ -13,6 +13,7 @@
 
 CALL = "sassafras-call"
 LOAD = "sassafras-load"
+LEVEL = "sassafras-level"
 SUB_CALL_FAILED = "sassafras-sub-call-failed"
 _STEP = "peer.call"
 _NOT_FORWARDED: frozenset[str] = frozenset()
@@ -122,20 +123,29 @@
         *answer.headers,
         (fields.OUTCOME, fields.outcome_value(answer)),
         (LOAD, f"{answer.load:.3f}"),
+        *((LEVEL, str(level)) for _, level in answer.levels),
     ]
     if answer.sub_call_failed:
         headers.append((SUB_CALL_FAILED, "1"))
     return headers
 
 
-def decode_answer(response: client.Response, peer: str) -> messages.Answer:
+def decode_answer(
+    response: client.Response, peer: str, service: str
+) -> messages.Answer:
     """Returns the answer in a response of another node.
 
+    Args:
+      response: The response.
+      peer: The node.
+      service: The service that was called.
+
     Raises:
       ProtocolError: The response does not say how the call ended.
     """
     outcome = reason = ""
     load = 0.0
+    levels: tuple[tuple[str, int], ...] = ()
     sub_call_failed = False
     headers = []
     for name, value in response.headers:
@@ -144,6 +154,8 @@
             reason = rest.partition("=")[2]
         elif name == LOAD:
             load = float(value)
+        elif name == LEVEL and value.isdigit():
+            levels = ((service, int(value)),)
         elif name == SUB_CALL_FAILED:
             sub_call_failed = True
         else:
@@ -156,6 +168,7 @@
             headers=fields.end_to_end(tuple(headers), _NOT_FORWARDED),
             body=response.body,
             load=load,
+            levels=levels,
             sub_call_failed=sub_call_failed,
         )
     except ValueError:
