Keep links and exchanges under a supervisor that never gives up

Cause: an exchange of tokens fails while its keeper is unreachable, and ten failures in 60 s would have ended the supervisor of the listeners for peers. Change: links and exchanges are children of node/mesh/peers/outgoing.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/supervisor.py
@@ -19,7 +19,7 @@
     metrics: listening.Listener,
 ) -> None:
     """Runs the children until cancelled."""
-    await supervision.Supervisor("mesh/callers").run(
+    await supervision.Supervisor("node/mesh/callers").run(
         [
             child
             for listener in (callers, checks, metrics)
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -1,9 +1,11 @@
 """Supervisor of the control links and of the listeners for other nodes.
 
 Children: `calls` and `links` accept connections, `call-sessions` and
-`link-sessions` serve them, `roster` starts and stops one `link:NODE` for each
-node of the fleet and one `limits:NODE` for each keeper of a pool of tokens. One
-that fails is restarted alone; the calls of sessions that run go on.
+`link-sessions` serve them. `outgoing` is a supervisor of its own: `roster`
+follows the fleet, and there is one `link:NODE` for each of its nodes and one
+`limits:NODE` for each keeper of a pool of tokens; it never gives up, as an
+unreachable node is no fault of this one. A child that fails is restarted alone;
+the calls of sessions that run go on.
 """
 
 import functools
@@ -21,6 +23,10 @@
 # How soon a new node gets a link, and a node that is gone loses it.
 _ROSTER_INTERVAL_S = 0.25
 
+_OUTGOING_POLICY = supervision.RestartPolicy(
+    initial_backoff_s=0.1, maximum_backoff_s=1.0, failures_allowed=2**31
+)
+
 
 async def run(
     runtime: runtimes.Runtime,
@@ -28,15 +34,26 @@
     links: listening.Listener,
 ) -> None:
     """Runs the children until cancelled."""
-    supervisor = supervision.Supervisor("mesh/peers")
-    await supervisor.run(
+    outgoing = supervision.Supervisor(
+        "node/mesh/peers/outgoing", _OUTGOING_POLICY
+    )
+    await supervision.Supervisor("node/mesh/peers").run(
         [
             supervision.Child("call-sessions", calls.run_sessions),
             supervision.Child("calls", calls.accept),
             supervision.Child("link-sessions", links.run_sessions),
             supervision.Child("links", links.accept),
             supervision.Child(
-                "roster", functools.partial(_follow_fleet, runtime, supervisor)
+                "outgoing",
+                functools.partial(
+                    outgoing.run,
+                    [
+                        supervision.Child(
+                            "roster",
+                            functools.partial(_follow_fleet, runtime, outgoing),
+                        )
+                    ],
+                ),
             ),
         ]
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/supervisor.py
@@ -15,7 +15,7 @@
 
 async def run(runtime: runtimes.Runtime) -> None:
     """Runs the children until cancelled."""
-    await supervision.Supervisor("mesh/store").run(
+    await supervision.Supervisor("node/mesh/store").run(
         [
             supervision.Child(
                 "configuration", functools.partial(configuration.run, runtime)
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -1,8 +1,8 @@
 """The root of the supervisor tree of a mesh node.
 
 Children: `store`, `peers`, `targets` and `callers`, each a supervisor of its
-own, and `log`. One that gives up is restarted here; when that happens too often
-the root gives up and the process exits with an error.
+own. One that gives up is restarted here; when that happens too often the root
+gives up and the process exits with an error.
 """
 
 import functools
@@ -61,7 +61,7 @@
     ]
     for listener in listeners:
         await listener.bind()
-    root = supervision.Supervisor("mesh")
+    root = supervision.Supervisor("node/mesh")
     children = {
         "store": functools.partial(store.run, runtime),
         "peers": functools.partial(
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/supervisor.py
@@ -13,7 +13,7 @@
 
 async def run(listener: listening.Listener) -> None:
     """Runs the children until cancelled."""
-    await supervision.Supervisor("mesh/targets").run(
+    await supervision.Supervisor("node/mesh/targets").run(
         [
             supervision.Child("sessions", listener.run_sessions),
             supervision.Child("accept", listener.accept),
--- a/tests/mesh/test_faults.py
+++ b/tests/mesh/test_faults.py
@@ -5,6 +5,7 @@
 
 from common import mesh_fleet
 from common import waiting
+from sassafras_standins.platform import documents
 from sassafras_standins.platform import store as store_standin
 
 pytestmark = pytest.mark.loopback
@@ -182,3 +183,18 @@
         fleet.kill_node("two")
         for _ in range(5):
             assert (await fleet.ask("one")).status == 200
+
+
+async def test_requests_are_served_while_the_keeper_of_tokens_is_gone(
+    tmp_path,
+):
+    """Guards against a failed exchange of tokens that stops other tasks."""
+    tight = documents.TenantRow("acme", (mesh_fleet.KEY,), 2, 2)
+    async with mesh_fleet.running(tmp_path, tenants=(tight,)) as fleet:
+        await _two(fleet)
+        fleet.kill_node("two")
+        with trio.move_on_after(4.0):
+            while True:
+                await fleet.ask("one")
+                await trio.sleep(0.02)
+        assert (await fleet.ask("one", "/open/1", key=None)).status == 200
