Divide only rates that leave each host room for a token

Room for one token at each of many hosts would also add to the burst. Change: small rates lie wholly in the pool unless the deployment tolerates the room; demand is averaged over 5 s.

--- a/packages/sassafras-policy/src/sassafras_policy/limits/demand_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/demand_share.py
@@ -1,21 +1,22 @@
 """A share for each host in proportion to the demand at it."""
 
+from sassafras_policy.configuration import document
 from sassafras_policy.limits import demand as demands
 from sassafras_policy.limits import limiters
 from sassafras_policy.limits import static_share
 
-# Hosts exchange their demand every second; a shorter average would move shares
-# faster than the others hear of it.
-_TIME_CONSTANT_S = 2.0
+# Hosts exchange their demand every two seconds; a shorter average would move
+# shares faster than the others hear of it, and follow single requests.
+_TIME_CONSTANT_S = 5.0
 # A share grows only after the other hosts have had time to hear of the demand
 # that it follows and to give up theirs.
-_GROWTH_DELAY_S = 1.2
+_GROWTH_DELAY_S = 2.2
 _UPDATE_INTERVAL_S = 0.4
 # Part of an equal share that a host keeps without any demand, for the first
 # requests of callers that move to it.
 _IDLE_PART = 0.1
-# Shares of hosts that disagree for a moment add up to more than the rate, so
-# a part of what the deployment tolerates is kept back.
+# Shares of hosts that disagree for a moment add up to more than the rate, so a
+# part of what the deployment tolerates is kept back.
 TOLERANCE_USED = 0.6
 
 
@@ -44,13 +45,8 @@
     """Divides each rate in proportion to the demand at the hosts.
 
     A host whose demand is not known counts like the average of the others.
-
-    Attributes:
-      local_part: The part of each rate that is divided so.
     """
 
-    local_part = 1.0
-
     def __init__(self) -> None:
         super().__init__()
         self._accounts: dict[str, _Account] = {}
@@ -121,16 +117,19 @@
         account = self._accounts[name]
         account.updated_at = now
         account.settle(self._wanted_part(name, account, now), now)
-        hosts = max(1, situation.hosts)
-        tolerance = situation.tolerance
-        factor = 1.0 + tolerance.ratio * TOLERANCE_USED
+        factor = 1.0 + situation.tolerance.ratio * TOLERANCE_USED
+        divided = self._divided_part(organisation) * account.part
         account.bucket.resize(
-            organisation.rate_per_s * account.part * factor * self.local_part,
-            max(1.0, organisation.burst * account.part * self.local_part)
-            + tolerance.requests * TOLERANCE_USED / hosts,
+            organisation.rate_per_s * divided * factor,
+            max(1.0, organisation.burst * divided) if divided else 0.0,
             now,
         )
 
+    def _divided_part(self, organisation: document.Organisation) -> float:
+        """Returns the part of a rate that is divided among the hosts."""
+        del organisation
+        return 1.0
+
     def _wanted_part(self, name: str, account: _Account, now: float) -> float:
         assert self._situation is not None
         hosts = max(1, self._situation.hosts)
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sassafras_base import hashing
+from sassafras_policy.configuration import document
 from sassafras_policy.limits import demand_share
 from sassafras_policy.limits import exchanges
 from sassafras_policy.limits import limiters
@@ -11,6 +12,9 @@
 # The part of a rate that lies in the pool. The rest is divided by demand and
 # serves while the host that keeps the pool cannot be asked.
 _POOL_PART = 0.75
+# Room for one token at each host, as a part of the requests that a deployment
+# tolerates beyond rate and burst.
+_ROOM_USED = 0.85
 # Tokens that were granted and not used are lost after this time, so that a
 # host cannot save them up.
 _GRANT_LIFETIME_S = 1.0
@@ -61,8 +65,6 @@
     keeper before it has just granted is not granted twice.
     """
 
-    local_part = 1.0 - _POOL_PART
-
     def __init__(self) -> None:
         super().__init__()
         self._purses: dict[str, _Purse] = {}
@@ -93,15 +95,32 @@
             if keeper == situation.own_id:
                 pool = self._pools.get(name) if kept else None
                 pool = pool or static_share.TokenBucket(0.0, 0.0, now)
+                pool_part = 1.0 - self._divided_part(organisation)
                 pool.resize(
-                    organisation.rate_per_s * _POOL_PART * factor,
-                    max(1.0, organisation.burst * _POOL_PART),
+                    organisation.rate_per_s * pool_part * factor,
+                    max(1.0, organisation.burst * pool_part),
                     now,
                 )
                 pools[name] = pool
         self._purses = purses
         self._pools = pools
 
+    def _divided_part(self, organisation: document.Organisation) -> float:
+        """Returns the part of a rate that is not in its pool.
+
+        A host needs room for one token to admit anything. Where the local
+        parts are smaller, the room at all hosts together adds to the burst;
+        the deployment must tolerate that, or the pool gets everything.
+        """
+        assert self._situation is not None
+        hosts = max(1, self._situation.hosts)
+        divided = 1.0 - _POOL_PART
+        if organisation.burst * divided >= hosts:
+            return divided
+        if hosts <= self._situation.tolerance.requests * _ROOM_USED:
+            return divided
+        return 0.0
+
     def take(self, organisation: str, now: float) -> bool:
         """See Limiter.
 
