Let sub-calls wait for a place, build only log lines that may be written

Lines above the rate were built and then dropped. Change: a sub-call may wait for half of its time; the line writer is asked first.

--- a/packages/sassafras-base/src/sassafras_base/events.py
+++ b/packages/sassafras-base/src/sassafras_base/events.py
@@ -86,6 +86,8 @@
         """Writes a line unless the event is below the least level."""
         if loguru.logger.level(event.level).no < self._least:
             return
+        if not self._writer.admits():
+            return
         line: dict[str, object] = {
             "time": round(time.time(), 3),
             "level": event.level,
--- a/packages/sassafras-base/src/sassafras_base/line_writer.py
+++ b/packages/sassafras-base/src/sassafras_base/line_writer.py
@@ -30,8 +30,11 @@
         self._allowed = _BURST_LINES
         self._refilled_at = time.monotonic()
 
-    def write(self, line: str) -> None:
-        """Adds a line, or counts it as dropped."""
+    def admits(self) -> bool:
+        """Returns whether a line may be written now, or counts it as dropped.
+
+        Asked before a line is built, as most of a line's cost is there.
+        """
         now = time.monotonic()
         self._allowed = min(
             _BURST_LINES,
@@ -40,8 +43,12 @@
         self._refilled_at = now
         if self._allowed < 1.0 or len(self._pending) > _BUFFER_BYTES:
             self.dropped += 1
-            return
+            return False
         self._allowed -= 1.0
+        return True
+
+    def write(self, line: str) -> None:
+        """Adds a line that was admitted."""
         if self.dropped:
             self._pending += b'{"dropped_lines": %d}\n' % self.dropped
             self.dropped = 0
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -12,6 +12,9 @@
 # Longest wait of the more important classes, in service times of the target.
 _PATIENCE_CALLS = 2.0
 
+# Part of the time left to its deadline that a sub-call may wait for a place.
+_SUB_CALL_PATIENCE = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
@@ -264,7 +267,7 @@
             context.deadline,
             self.limit,
             now,
-            self._longest_wait_s(context.priority),
+            self._longest_wait_s(context, now),
         )
         if ticket is None or displaced is not None:
             self._levels.dropped(queueing.MAXIMUM_WAIT_S)
@@ -312,18 +315,26 @@
         if self._queue.remove(ticket):
             self._levels.dropped(now - ticket.queued_at)
 
-    def _longest_wait_s(self, priority: int) -> float:
-        """Returns how long a call of a class may wait.
+    def _longest_wait_s(
+        self, context: messages.CallContext, now: float
+    ) -> float:
+        """Returns how long a call may wait.
 
         Calls of the more important classes are next in the queue, but at a
         slow target the next place may be free only after a whole service
         time. With the shortest wait for all, one in thirty of them was
         refused in a surge of the least important class.
+
+        A sub-call that is refused fails the request above it, with all the
+        work done for it, so it may wait while there is time to serve it.
         """
-        if priority >= self._class_count - 1:
-            return queueing.MAXIMUM_WAIT_S
-        patience_s = _PATIENCE_CALLS * self._limit.baseline_s
-        return max(queueing.MAXIMUM_WAIT_S, patience_s)
+        longest_s = queueing.MAXIMUM_WAIT_S
+        if context.depth:
+            left_s = context.deadline - now
+            longest_s = max(longest_s, _SUB_CALL_PATIENCE * left_s)
+        if context.priority >= self._class_count - 1:
+            return longest_s
+        return max(longest_s, _PATIENCE_CALLS * self._limit.baseline_s)
 
     @property
     def _has_place(self) -> bool:
--- a/tests/contract/test_admission_decisions.py
+++ b/tests/contract/test_admission_decisions.py
@@ -318,3 +318,16 @@
     results = [policy.decide(_context(), 0.0).admitted for _ in range(50)]
     assert sum(results) == admitted
     assert policy.level(0.0) == OPEN
+
+
+def test_a_sub_call_may_wait_while_there_is_time_to_serve_it():
+    """Guards against whole requests that fail for a short queue far down."""
+    policy = policies.Adaptive(2, 1)
+    for _ in range(policy.limit):
+        assert policy.decide(_context(depth=1), 0.0).admitted
+    sub_call = policy.decide(_context(priority=0, depth=1, deadline=0.8), 0.0)
+    assert sub_call.ticket is not None
+    assert sub_call.ticket.wait_s(0.0) == 0.4
+    root = policy.decide(_context(priority=0, depth=0, deadline=0.8), 0.0)
+    assert root.ticket is not None
+    assert root.ticket.wait_s(0.0) == queueing.MAXIMUM_WAIT_S
