--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -51,7 +51,7 @@
     """Returns the answer of a target, or how the call ended without one."""
     remaining_s = call.context.deadline - runtime.clock.now()
     answer: messages.Answer | None = None
-    with trio.move_on_after(remaining_s + _VERDICT_GRACE_S):
+    with trio.move_on_after(max(0.0, remaining_s + _VERDICT_GRACE_S)):
         answer = await _send_until_final(runtime, call, trail)
     if answer is None:
         if trail.progress.may_have_run:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -136,7 +136,9 @@
     now: float,
 ) -> calls.Call:
     assert runtime.routing is not None
-    patience_s = entry.patience_s or _DEFAULT_PATIENCE_S
+    patience_s = entry.patience_s
+    if patience_s is None:
+        patience_s = _DEFAULT_PATIENCE_S
     if route.timeout_s:
         patience_s = min(patience_s, route.timeout_s)
     priority = route.priority
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -125,7 +125,9 @@
 ) -> messages.Answer:
     """Serves a call that another node has sent."""
     progress = progresses.Progress()
-    with trio.move_on_after(call.context.deadline - runtime.clock.now()):
+    remaining_s = call.context.deadline - runtime.clock.now()
+    # A busy node may read a call after its deadline has passed.
+    with trio.move_on_after(max(0.0, remaining_s)):
         return await serve(runtime, call, target_id, progress)
     if progress.may_have_run:
         return messages.unknown(
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -158,7 +158,10 @@
         self.http_limits = http_server.ServerLimits(
             header_bytes=limits.header_bytes,
             body_bytes=limits.body_bytes,
-            request_timeout_s=limits.header_timeout_s,
+            # Covers the body as well, which may come over a narrow link.
+            request_timeout_s=max(
+                limits.header_timeout_s, limits.idle_timeout_s
+            ),
             idle_timeout_s=limits.idle_timeout_s,
         )
         self.target.set_class_count(_class_count(decoded))
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -5,6 +5,10 @@
 
 from common import mesh_fleet
 from common import waiting
+from sassafras_node.mesh.calls import local
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.mesh import calls
 from sassafras_standins.platform import documents
 from sassafras_standins.platform import endpoint
 
@@ -155,3 +159,55 @@
 
         await waiting.until(is_told, "the other node hears of the stop")
         assert not fleet.nodes["one"].is_ready
+
+
+@pytest.mark.parametrize("deadline_ms", [0, 1, 20, 60])
+async def test_a_call_whose_deadline_has_passed_is_answered_as_not_run(
+    tmp_path, deadline_ms
+):
+    """Guards against a node that closes the connection of a late call.
+
+    Its first node could not tell that from a lost target, and answered 502.
+    """
+    other = documents.RouteRow(
+        "other", mesh_fleet.HOST, "/other/", "back", route_type="unsafe"
+    )
+    async with mesh_fleet.running(tmp_path, routes=(other,)) as fleet:
+        await fleet.add_machine("one")
+        await fleet.add_machine("two", service="back", work_s=0.2)
+        await fleet.until_settled()
+        answer = await fleet.ask(
+            "one",
+            "/other/1",
+            "POST",
+            request_id="r1",
+            deadline_ms=deadline_ms,
+        )
+        ran = fleet.runs("r1")
+    assert answer.status == (504 if ran else 503)
+
+
+async def test_the_second_node_refuses_a_call_that_comes_after_its_deadline(
+    tmp_path,
+):
+    """Guards against a session that fails on a time that has passed."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        await fleet.until_settled()
+        node = fleet.nodes["one"]
+        late = calls.Call(
+            request=messages.Request("GET", "/read/1", (), b""),
+            request_id="r1",
+            caller_service="front",
+            organisation="acme",
+            service="front",
+            context=messages.CallContext(
+                "r1", "acme", 0, 0, node.clock.now() - 1.0, 0, False
+            ),
+            is_idempotent=True,
+        )
+        answer = await local.serve_within_deadline(
+            node, late, fleet.endpoints["one"].target_id
+        )
+        assert answer.outcome is outcomes.Outcome.NOT_RUN
+        assert fleet.runs("r1") == 0
