Keep a target in reach while its node sends callers away

Each node told its peers at once that it leaves and then waited 2.4 s for callers, so each of three targets of parcels was out of reach for 2.4 s more than its restart takes; whole chains failed (events 802, 832). Ruled out: rates (no event 821 with demand below the rate) and the store. Change: peers are told after the notice; listeners stay open until what is in flight has ended, 1.2 s more at most. The new test failed before.

--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -62,6 +62,7 @@
       heard_levels: Admission levels of services, learnt from answers.
       called_services: Services that the target beside the node has called.
       drain: Work in flight and planned stop.
+      is_leaving: Whether other nodes should send no more calls.
       measurements: Counters and latencies.
       sub_call_failed_at: When a call of the target beside last failed.
       entry_changed: Set and replaced when this node's entry changes.
@@ -102,6 +103,7 @@
         self.heard_levels = levels.HeardLevels()
         self.called_services: set[str] = set()
         self.drain = drains.make_drain()
+        self.is_leaving = False
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
         self.own_entry_removed = trio.Event()
@@ -124,7 +126,7 @@
             availability_zone=host.availability_zone,
             call_address=host.call_address,
             link_address=host.link_address,
-            is_leaving=self.drain.is_draining,
+            is_leaving=self.is_leaving,
             target=self.target.published,
         )
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -22,6 +22,10 @@
 # Callers of this host are sent elsewhere once readiness has been missed twice,
 # at one question a second; until then their requests are still served.
 _READINESS_NOTICE_S = 2.4
+# Time for other nodes to hear that this one leaves.
+_NEWS_S = 0.1
+# After this the listeners close even if callers still send requests.
+_LAST_REQUESTS_S = 1.2
 # Kept back from the time until the kill, for the entry and the last lines.
 _EXIT_MARGIN_S = 0.7
 
@@ -96,12 +100,22 @@
 async def _leave(
     runtime: runtimes.Runtime, listeners: list[listening.Listener]
 ) -> None:
-    """Finishes what is in flight within the time before the kill."""
+    """Finishes what is in flight within the time before the kill.
+
+    The target beside the node often goes on, and is out of reach until the
+    next process has started. So other nodes are sent away as late as possible.
+    Until its last request has ended the target makes calls of its own, which
+    come in through the same listener as new requests.
+    """
     mesh_node_leaving(runtime.drain.in_flight)
     left_s = runtime.settings.bounds.grace_s - _EXIT_MARGIN_S
     with trio.move_on_after(left_s):
-        runtime.publish_entry()
         await trio.sleep(_READINESS_NOTICE_S)
+        runtime.is_leaving = True
+        runtime.publish_entry()
+        with trio.move_on_after(_LAST_REQUESTS_S):
+            await trio.sleep(_NEWS_S)
+            await runtime.drain.idle.wait()
         for listener in listeners:
             await listener.close()
         await runtime.drain.idle.wait()
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -211,3 +211,20 @@
         )
         assert answer.outcome is outcomes.Outcome.NOT_RUN
         assert fleet.runs("r1") == 0
+
+
+async def test_a_target_is_served_while_its_node_sends_callers_away(tmp_path):
+    """Guards against a rolling restart that takes out each target for long.
+
+    Seen in the recorded day of rvag: the target was out of reach for the whole
+    notice of 2.4 s, besides the restart.
+    """
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        await fleet.add_machine("two", service="back")
+        await fleet.until_settled()
+        fleet.nodes["one"].drain.requested.set()
+        await trio.sleep(0.5)
+        assert not fleet.nodes["one"].is_ready
+        answer = await fleet.ask("two")
+        assert answer.status == 200
