Hand pools over when their keeper leaves; read the fleet before any rate

A node that has just started knew no other node and took each whole rate for its own. Change: a node that leaves keeps no pool; a new keeper begins with a fifth of the tolerated requests; requests wait for the first listing of the fleet (503).

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -71,11 +71,11 @@
 ) -> calls.Call | messages.Answer:
     """Returns the call, or the refusal of the request."""
     table = runtime.routing
-    if table is None:
+    if table is None or not runtime.knows_fleet:
         return messages.refusal(
             outcomes.Reason.NO_CONFIGURATION,
             503,
-            "the node has no configuration yet",
+            "the node does not know the configuration or the fleet yet",
             retry_after_ms=messages.RETRY_AFTER_MS,
         )
     route = table.find(entry.host, entry.request.path)
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -62,6 +62,9 @@
       heard_levels: Admission levels of services, learnt from answers.
       called_services: Services that the target beside the node has called.
       drain: Work in flight and planned stop.
+      knows_fleet: Whether the entries of all nodes have been read once.
+        Before, the node would take itself for the only one, and every rate
+        for its own.
       is_leaving: Whether other nodes should send no more calls.
       measurements: Counters and latencies.
       sub_call_failed_at: When a call of the target beside last failed.
@@ -104,6 +107,7 @@
         self.called_services: set[str] = set()
         self.drain = drains.make_drain()
         self.is_leaving = False
+        self.knows_fleet = False
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
         self.own_entry_removed = trio.Event()
@@ -140,6 +144,8 @@
         """Whether callers of this host should send new work."""
         if self.drain.is_draining or self.routing is None:
             return False
+        if not self.knows_fleet:
+            return False
         if not self.routing.source.organisations:
             return True
         return self.freshness.permits_keys(self.clock.now_with_suspend())
@@ -190,13 +196,18 @@
             roster=rosters.Roster(),
             settled=True,
             tolerance=self.settings.bounds.rate_tolerance,
-            nodes=tuple(sorted(e.node_id for e in self.fleet.entries)),
+            nodes=self._keepers(),
         )
         if situation != self._situation:
             self._situation = situation
             self.limiter.configure(situation, self.clock.now_with_suspend())
         self.spending.set_nodes(situation.hosts)
 
+    def _keepers(self) -> tuple[str, ...]:
+        """Returns the nodes that may keep pools; those that leave may not."""
+        entries = [*self.fleet.entries, self.entry]
+        return tuple(sorted(e.node_id for e in entries if not e.is_leaving))
+
     async def open_limit_link(
         self, nursery: trio.Nursery, holder: str
     ) -> links.Link:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -61,6 +61,8 @@
         _take(runtime, item)
     known = {entries.node_of(item.key) for item in listing.items}
     runtime.fleet.keep_only(known, runtime.clock.now_with_suspend())
+    runtime.knows_fleet = True
+    runtime.configure_limiter()
     if runtime.settings.host.node_id not in known:
         runtime.own_entry_removed.set()
     return listing.revision
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -34,7 +34,7 @@
       roster: The newest epoch of the roster that the node has seen.
       settled: Whether every member is known to have applied that epoch.
       tolerance: What the fleet may admit beyond rate and burst.
-      nodes: Ids of the other nodes that are known to be alive.
+      nodes: Ids of the nodes that may keep something for the others.
     """
 
     organisations: tuple[documents.Organisation, ...]
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -15,6 +15,10 @@
 # Room for one token at each host, as a part of the requests that a deployment
 # tolerates beyond rate and burst.
 _ROOM_USED = 0.85
+# What a new keeper begins with, as a part of the requests that a deployment
+# tolerates beyond rate and burst. With rolling restarts keepers change several
+# times in a window.
+_FIRST_LEVEL = 0.2
 # Tokens that were granted and not used are lost after this time, so that a
 # host cannot save them up.
 _GRANT_LIFETIME_S = 1.0
@@ -61,8 +65,8 @@
     Small rates over many hosts leave each host a fraction of a request a
     second, and random arrivals then find their share empty although the
     organisation is far below its rate. A pool serves whichever host needs it.
-    A host that becomes the keeper starts with an empty pool, so that what the
-    keeper before it has just granted is not granted twice.
+    A host that becomes the keeper starts with next to nothing, so that what
+    the keeper before it has just granted is not granted twice.
     """
 
     def __init__(self) -> None:
@@ -87,20 +91,22 @@
         factor = 1.0 + situation.tolerance.ratio * demand_share.TOLERANCE_USED
         for organisation in situation.organisations:
             name = organisation.name
-            nodes = (*situation.nodes, situation.own_id)
+            nodes = situation.nodes or (situation.own_id,)
             keeper = hashing.rendezvous(name, nodes, 1)[0]
             known = self._purses.get(name)
             kept = known is not None and known.keeper == keeper
             purses[name] = known if known and kept else _Purse(keeper)
             if keeper == situation.own_id:
-                pool = self._pools.get(name) if kept else None
-                pool = pool or static_share.TokenBucket(0.0, 0.0, now)
                 pool_part = 1.0 - self._divided_part(organisation)
-                pool.resize(
-                    organisation.rate_per_s * pool_part * factor,
-                    max(1.0, organisation.burst * pool_part),
-                    now,
-                )
+                rate_per_s = organisation.rate_per_s * pool_part * factor
+                capacity = max(1.0, organisation.burst * pool_part)
+                pool = self._pools.get(name) if kept else None
+                if pool is None:
+                    level = situation.tolerance.requests * _FIRST_LEVEL
+                    pool = static_share.TokenBucket(
+                        rate_per_s, capacity, now, min(level, capacity)
+                    )
+                pool.resize(rate_per_s, capacity, now)
                 pools[name] = pool
         self._purses = purses
         self._pools = pools
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -10,12 +10,18 @@
 
 
 class TokenBucket:
-    """A bucket that starts empty and refills at a constant rate."""
+    """A bucket that refills at a constant rate; it starts empty by default."""
 
-    def __init__(self, rate_per_s: float, capacity: float, now: float) -> None:
+    def __init__(
+        self,
+        rate_per_s: float,
+        capacity: float,
+        now: float,
+        level: float = 0.0,
+    ) -> None:
         self._rate_per_s = rate_per_s
         self._capacity = capacity
-        self._level = 0.0
+        self._level = level
         self._updated = now
 
     @property
--- a/tests/mesh/test_faults.py
+++ b/tests/mesh/test_faults.py
@@ -198,3 +198,38 @@
                 await fleet.ask("one")
                 await trio.sleep(0.02)
         assert (await fleet.ask("one", "/open/1", key=None)).status == 200
+
+
+async def test_a_node_that_has_not_read_the_fleet_refuses(tmp_path):
+    """Guards against a restarted node that takes every rate for its own."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await _two(fleet)
+        node = fleet.nodes["one"]
+        node.knows_fleet = False
+        assert (await fleet.ask("one")).status == 503
+        assert not node.is_ready
+
+
+async def test_a_leaving_node_hands_its_pools_to_others(tmp_path):
+    """Guards against refusals below the rate in a rolling restart.
+
+    Seen in the recorded day of rvag: organisations at half of their rates were
+    refused while the keepers of their pools restarted.
+    """
+    tight = documents.TenantRow("acme", (mesh_fleet.KEY,), 50, 50)
+    async with mesh_fleet.running(tmp_path, tenants=(tight,)) as fleet:
+        await _two(fleet)
+        keeper = next(
+            name
+            for name, node in fleet.nodes.items()
+            if not node.limiter.holders
+        )
+        other = next(name for name in fleet.nodes if name != keeper)
+        fleet.nodes[keeper].is_leaving = True
+        fleet.nodes[keeper].publish_entry()
+
+        async def is_handed_over():
+            return not fleet.nodes[other].limiter.holders
+
+        await waiting.until(is_handed_over, "the other node keeps the pool")
+        assert (await fleet.ask(other)).status == 200
