--- a/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
@@ -6,6 +6,7 @@
 from sassafras_base import events
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import reach
 from sassafras_wire.store import client as store_client
 
 # Each answer of a waiting call proves that the configuration is the newest,
@@ -27,36 +28,20 @@
     return f"configuration from {source} refused: {error}"
 
 
-@events.declare(842, "WARNING")
-def store_lost(step: str, error: str) -> str:
-    """The key-value store is not reached; what is known stays in use."""
-    return f"store not reached at {step}: {error}"
-
-
-@events.declare(843, "INFO")
-def store_regained(step: str) -> str:
-    """The key-value store is reached again."""
-    return f"store reached again at {step}"
-
-
 async def run(runtime: runtimes.Runtime) -> None:
     """Follows the configuration until cancelled."""
-    is_lost = False
+    store = reach.Reach("configuration")
     while True:
         try:
             revision = await _read(runtime)
-            if is_lost:
-                store_regained("configuration")
-                is_lost = False
+            store.regained()
             while True:
                 revision = await _await_change(runtime, revision)
         except interfaces.HistoryLostError:
             # The whole value is read instead of the changes.
             continue
         except store_client.StoreUnavailableError as error:
-            if not is_lost:
-                store_lost("configuration", str(error))
-                is_lost = True
+            store.lost(error)
             await trio.sleep(_RETRY_S)
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -5,8 +5,8 @@
 from sassafras_base import events
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
-from sassafras_node.mesh.store import configuration
 from sassafras_node.mesh.store import entries
+from sassafras_node.mesh.store import reach
 from sassafras_wire.store import client as store_client
 
 # A watch waits this long; a change ends the wait at once.
@@ -30,13 +30,11 @@
 
 async def run(runtime: runtimes.Runtime) -> None:
     """Follows the entries until cancelled."""
-    is_lost = False
+    store = reach.Reach("members")
     while True:
         try:
             revision = await _read_all(runtime)
-            if is_lost:
-                configuration.store_regained("members")
-                is_lost = False
+            store.regained()
             while True:
                 listing = await runtime.platform.store.changes(
                     entries.PREFIX, revision, _WAIT_S
@@ -49,9 +47,7 @@
             # All entries are read instead of the changes.
             continue
         except store_client.StoreUnavailableError as error:
-            if not is_lost:
-                configuration.store_lost("members", str(error))
-                is_lost = True
+            store.lost(error)
             await trio.sleep(_RETRY_S)
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -4,8 +4,8 @@
 
 from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
-from sassafras_node.mesh.store import configuration
 from sassafras_node.mesh.store import entries
+from sassafras_node.mesh.store import reach
 from sassafras_wire.store import client as store_client
 
 # The entry outlives the time in which a node that has lost the store stops
@@ -36,21 +36,19 @@
     """Keeps the entry until cancelled."""
     with trio.move_on_after(_FIRST_WRITE_DELAY_S):
         await runtime.entry_changed.wait()
-    lost = False
+    store = reach.Reach("entry")
     while True:
         try:
-            await _keep_one_lease(runtime)
+            await _keep_one_lease(runtime, store)
             entry_lapsed()
         except store_client.StoreUnavailableError as error:
-            if not lost:
-                configuration.store_lost("entry", str(error))
-                lost = True
+            store.lost(error)
             await trio.sleep(_RETRY_S)
-        else:
-            lost = False
 
 
-async def _keep_one_lease(runtime: runtimes.Runtime) -> None:
+async def _keep_one_lease(
+    runtime: runtimes.Runtime, reached: reach.Reach
+) -> None:
     """Writes the entry with each change; returns when it or the lease is gone.
 
     A call that fails leaves the lease as it is, so the next attempt starts
@@ -73,6 +71,7 @@
                 return
             written = value
             runtime.own_entry_removed = trio.Event()
+            reached.regained()
             entry_written(revision, _state(runtime))
         await _wait(runtime, changed, ttl_s / _KEEPS_IN_LEASE)
         if runtime.own_entry_removed.is_set():
@@ -124,7 +123,7 @@
             await runtime.platform.store.delete(key, listing.items[0].revision)
     except store_client.StoreUnavailableError as error:
         # The entry ends with its lease.
-        configuration.store_lost("entry", str(error))
+        reach.store_lost("entry", str(error))
 
 
 def _state(runtime: runtimes.Runtime) -> str:
