--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -26,8 +26,11 @@
 _NEWS_S = 0.1
 # After this the listeners close even if callers still send requests.
 _LAST_REQUESTS_S = 1.2
-# Kept back from the time until the kill, for the entry and the last lines.
-_EXIT_MARGIN_S = 0.7
+# Kept back from the time until the kill, for the entry, the last lines and the
+# end of the interpreter; 0.7 s was too short for a node under load.
+_EXIT_MARGIN_S = 1.0
+# Part of it for the call that removes the entry.
+_WITHDRAW_S = 0.3
 
 
 @events.declare(801, "INFO")
@@ -119,6 +122,6 @@
         for listener in listeners:
             await listener.close()
         await runtime.drain.idle.wait()
-    with trio.move_on_after(_EXIT_MARGIN_S / 2):
+    with trio.move_on_after(_WITHDRAW_S):
         await own_entry.withdraw(runtime)
     mesh_node_stopped(runtime.drain.in_flight)
