--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -27,7 +27,7 @@
 # After this the listeners close even if callers still send requests.
 _LAST_REQUESTS_S = 1.2
 # Kept back from the time until the kill, for the entry, the last lines and the
-# end of the interpreter; 0.7 s was too short for a node under load.
+# end of the interpreter.
 _EXIT_MARGIN_S = 1.0
 # Part of it for the call that removes the entry.
 _WITHDRAW_S = 0.3
