--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -3,7 +3,6 @@
 An adapter translates names and formats. It takes no decision.
 """
 
-from collections.abc import Sequence
 import dataclasses
 from typing import Protocol
 
@@ -194,4 +193,3 @@
     store: Store
     front_end: FrontEnd
     codecs: Codecs
-    reload_signals: Sequence[int] = ()
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -62,6 +62,7 @@
       heard_levels: Admission levels of services, learnt from answers.
       called_services: Services that the target beside the node has called.
       drain: Work in flight and planned stop.
+      lease: Lease of this node's entry; 0 for none.
       knows_fleet: Whether the entries of all nodes have been read once.
         Before, the node would take itself for the only one, and every rate
         for its own.
@@ -71,7 +72,6 @@
       entry_changed: Set and replaced when this node's entry changes.
       own_entry_removed: Set when the store has lost this node's entry;
         replaced when it has been written.
-      configuration_changed: Set and replaced with each new configuration.
       http_limits: Bounds on requests.
       body_budget: Bytes of request bodies held by all connections.
     """
@@ -108,10 +108,10 @@
         self.drain = drains.make_drain()
         self.is_leaving = False
         self.knows_fleet = False
+        self.lease = 0
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
         self.own_entry_removed = trio.Event()
-        self.configuration_changed = trio.Event()
         self.http_limits = http_server.ServerLimits()
         self.body_budget = http_server.BodyBudget(
             int(settings.resources.memory_bytes * _BODY_SHARE)
@@ -174,11 +174,6 @@
         )
         self.target.set_class_count(_class_count(decoded))
         self.configure_limiter()
-        changed, self.configuration_changed = (
-            self.configuration_changed,
-            trio.Event(),
-        )
-        changed.set()
         return True
 
     def configure_limiter(self) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/settings.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/settings.py
@@ -53,9 +53,7 @@
     """Time spans and amounts that the deployment promises.
 
     Attributes:
-      apply_s: An accepted configuration is in force within this time.
       revocation_s: A withdrawn key works no longer than this.
-      drain_s: A leaving target gets no request later than this.
       grace_s: Time between the request to stop and the kill.
       announcement_s: Usual time between two announcements of a target.
       retry_ratio: Further sends to targets, as a part of the requests.
@@ -64,9 +62,7 @@
       rate_tolerance: What may be admitted beyond the rates of organisations.
     """
 
-    apply_s: float
     revocation_s: float
-    drain_s: float
     grace_s: float
     announcement_s: float
     retry_ratio: float
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -60,6 +60,7 @@
         runtime.settings.bounds.revocation_s + _LEASE_MARGIN_S,
     )
     lease = await store.grant_lease(ttl_s)
+    runtime.lease = lease
     revision = 0
     written: bytes | None = None
     while True:
@@ -115,14 +116,13 @@
 
 
 async def withdraw(runtime: runtimes.Runtime) -> None:
-    """Removes the entry before the node stops."""
-    key = entries.key_of(runtime.settings.host.node_id)
+    """Ends the lease, and with it the entry, before the node stops."""
+    if not runtime.lease:
+        return
     try:
-        listing = await runtime.platform.store.get(key)
-        if listing.items:
-            await runtime.platform.store.delete(key, listing.items[0].revision)
+        await runtime.platform.store.revoke_lease(runtime.lease)
     except store_client.StoreUnavailableError as error:
-        # The entry ends with its lease.
+        # The entry ends when the lease has run out.
         reach.store_lost("entry", str(error))
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -38,10 +38,7 @@
     Attributes:
       ran: Whether the target worked on the request.
       is_whole: Whether status, signature and body are the target's own.
-      load: Running and waiting requests as a part of its slots; -1 if the
-        answer does not tell.
     """
 
     ran: bool
     is_whole: bool
-    load: float
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/configuration.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/configuration.py
@@ -28,7 +28,6 @@
       prefix: Path prefix; begins and ends with a slash.
       is_idempotent: Whether a request may run more than once.
       timeout_s: Longest time that a caller is kept waiting; 0 for no bound.
-      objective_s: Time within which an answer counts in full; 0 if unknown.
       priority: Rank of the route; 0 is the most important.
       shares: The services that serve the route.
       most_targets: Targets that one request may be sent to.
@@ -40,7 +39,6 @@
     prefix: str
     is_idempotent: bool
     timeout_s: float
-    objective_s: float
     priority: int
     shares: tuple[Share, ...]
     most_targets: int
--- a/tests/mesh/test_decisions.py
+++ b/tests/mesh/test_decisions.py
@@ -20,7 +20,6 @@
         prefix=prefix,
         is_idempotent=True,
         timeout_s=1.0,
-        objective_s=1.0,
         priority=0,
         shares=tuple(configuration.Share(s, w) for s, w in shares),
         most_targets=2,
