Spread the time at which callers come back after a refusal for their rate

Cause: a refusal for the rate named the time of the next token, often a millisecond, to every caller that waited for it. Change: the same spread as for other refusals is added.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -188,7 +188,15 @@
 def _with_come_back(
     runtime: runtimes.Runtime, answer: messages.Answer
 ) -> messages.Answer:
-    if answer.status != 503 or answer.outcome is outcomes.Outcome.RAN:
+    """Adds when a refused caller should come back."""
+    if answer.outcome is outcomes.Outcome.RAN:
         return answer
-    span_ms = _COME_BACK_MS + runtime.rng.random() * _COME_BACK_SPREAD_MS
-    return dataclasses.replace(answer, retry_after_ms=int(span_ms))
+    spread_ms = runtime.rng.random() * _COME_BACK_SPREAD_MS
+    if answer.status == 503:
+        span_ms = _COME_BACK_MS + spread_ms
+    elif answer.status == 429:
+        # The next token may be due at once, but it is not for all who wait.
+        span_ms = answer.retry_after_ms + spread_ms
+    else:
+        return answer
+    return dataclasses.replace(answer, retry_after_ms=int(span_ms) + 1)
