--- a/packages/sassafras-node/src/sassafras_node/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/entry.py
@@ -146,8 +146,8 @@
 def _deadline(now: float, request: messages.Request, longest_ms: int) -> float:
     asked = request.header(fields.DEADLINE_MS)
     span_ms = longest_ms
-    if asked is not None and asked.isdigit():
-        span_ms = min(longest_ms, int(asked))
+    if asked is not None:
+        span_ms = min(longest_ms, fields.span_ms(asked, longest_ms))
     return now + span_ms / 1000
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/http/fields.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/fields.py
@@ -86,6 +86,21 @@
     return str(answer.outcome)
 
 
+def span_ms(value: str, otherwise: int) -> int:
+    """Returns a time span in whole milliseconds; a negative one has passed.
+
+    Args:
+      value: The value of a field.
+      otherwise: What to return for a value that is no whole number.
+    """
+    digits = value.strip()
+    is_negative = digits.startswith("-")
+    digits = digits.removeprefix("-")
+    if not digits.isascii() or not digits.isdigit():
+        return otherwise
+    return 0 if is_negative else int(digits)
+
+
 def bearer_key(headers: messages.Headers) -> str | None:
     """Returns the key of an `Authorization: Bearer` field, or None."""
     for name, value in headers:
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -236,6 +236,7 @@
                 head = event
                 self._head_only = event.method == b"HEAD"
                 self._check_size(event)
+                self._check_unambiguous(event)
             elif isinstance(event, h11.Data):
                 self._hold(len(event.data))
                 body += event.data
@@ -277,6 +278,22 @@
                 f"the header block is over {self._limits.header_bytes} bytes",
             )
 
+    def _check_unambiguous(self, head: h11.Request) -> None:
+        """Refuses a request that another reader could take for another one.
+
+        With two lengths, the bytes of one reader's body are a further request
+        for the other. With two keys, each may count the other one's caller.
+        """
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise RequestRefusedError(
+                self.peer, 400, "a body has a length or is chunked, not both"
+            )
+        if names.count(fields.AUTHORIZATION.encode()) > 1:
+            raise RequestRefusedError(
+                self.peer, 400, "a request has one Authorization field"
+            )
+
     async def _send_continue(self) -> None:
         go_on = h11.InformationalResponse(status_code=100, headers=[])
         await self._stream.send_all(self._connection.send(go_on) or b"")
