--- a/packages/sassafras-base/src/sassafras_base/line_writer.py
+++ b/packages/sassafras-base/src/sassafras_base/line_writer.py
@@ -1,5 +1,6 @@
 """Writes log lines without ever waiting for their reader."""
 
+from collections.abc import Callable
 import os
 import select
 import time
@@ -23,19 +24,28 @@
       dropped: Lines left out since the last that was written.
     """
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(
+        self, descriptor: int, now: Callable[[], float] = time.monotonic
+    ) -> None:
+        """Makes a writer.
+
+        Args:
+          descriptor: Where the lines go.
+          now: Source of time in seconds.
+        """
         self.dropped = 0
+        self._now = now
         self._descriptor = descriptor
         self._pending = bytearray()
         self._allowed = _BURST_LINES
-        self._refilled_at = time.monotonic()
+        self._refilled_at = now()
 
     def admits(self) -> bool:
         """Returns whether a line may be written now, or counts it as dropped.
 
         Asked before a line is built, as most of a line's cost is there.
         """
-        now = time.monotonic()
+        now = self._now()
         self._allowed = min(
             _BURST_LINES,
             self._allowed + (now - self._refilled_at) * _LINES_PER_S,
