Carry calls between nodes in frames; notice callers that leave with one watcher

Change: a call between nodes is a length and a CBOR map on a pooled connection; one system call ten times a second looks for callers that have gone, in place of a task for each connection. A message that was cut off is known not to have run, so such a call may go to another node.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -9,6 +9,7 @@
 from sassafras_node import drain as drains
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
+from sassafras_wire.http import hangups
 from sassafras_wire.http import server as http_server
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
@@ -31,6 +32,11 @@
         """Bytes of request bodies held by all connections."""
         ...
 
+    @property
+    def hangups(self) -> hangups.HangupWatcher:
+        """Notices callers that go away while they are served."""
+        ...
+
     @property
     def drain(self) -> drains.Drain:
         """Work in flight and planned stop."""
@@ -67,20 +73,19 @@
     connection = http_server.ServerConnection(
         stream, peer, runtime.http_limits, runtime.body_budget, answer_form
     )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(connection.run_reader)
-        try:
-            while await _serve_next(runtime, connection, handler):
-                pass
-        except http_server.RequestRefusedError as error:
-            await _refuse(connection, refusal_form(error))
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+    try:
+        while await _serve_next(runtime, stream, connection, handler):
             pass
-        nursery.cancel_scope.cancel()
+    except http_server.RequestRefusedError as error:
+        await _refuse(connection, refusal_form(error))
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The other side has gone; nobody is left to tell.
+        return
 
 
 async def _serve_next(
     runtime: Host,
+    stream: trio.SocketStream,
     connection: http_server.ServerConnection,
     handler: Handler,
 ) -> bool:
@@ -93,10 +98,8 @@
         if request is None:
             return False
         answer: messages.Answer | None = None
-        with trio.CancelScope() as scope:
-            connection.cancel_when_gone(scope)
+        with runtime.hangups.watch(stream):
             answer = await handler(request)
-        connection.cancel_when_gone(None)
         if answer is None:
             return False
         await connection.send(answer, close=runtime.drain.is_draining)
--- a/packages/sassafras-node/src/sassafras_node/listening.py
+++ b/packages/sassafras-node/src/sassafras_node/listening.py
@@ -67,7 +67,7 @@
             except trio.ClosedResourceError:
                 break
             if self._nursery is None:
-                await trio.aclose_forcefully(stream)
+                stream.socket.close()
                 continue
             self._nursery.start_soon(self._run_session, stream)
         await trio.sleep_forever()
@@ -82,7 +82,8 @@
         try:
             host, port, *_ = stream.socket.getpeername()
         except OSError:
-            await trio.aclose_forcefully(stream)
+            # Reset before it was accepted.
+            stream.socket.close()
             return
         peer = f"{host}:{port}"
         try:
@@ -90,5 +91,5 @@
         except Exception as error:
             session_failed(self.name, peer, repr(error))
         finally:
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
+            # Closing the stream itself would wait for other tasks first.
+            stream.socket.close()
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -12,7 +12,7 @@
 from sassafras_policy.calls import progress as progresses
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import targets
-from sassafras_wire.mesh import call_codec
+from sassafras_wire.mesh import call_messages
 
 # A peer ends a call this long before its first node does, so that its own
 # verdict, which is exact, arrives in time.
@@ -189,18 +189,17 @@
         views.heard(entry.node_id, answer)
         return answer
     remaining_s = max(0.0, call.context.deadline - runtime.clock.now())
-    request = call_codec.encode_call(
+    request = call_messages.to_message(
         call,
         target_id,
-        call.request.header("host") or "",
         remaining_s - min(_VERDICT_MARGIN_S, remaining_s / 4),
     )
     views.started(entry.node_id)
     try:
-        response = await runtime.call_pools.exchange(
+        reply = await runtime.call_pools.exchange(
             entry.call_address, request, progress
         )
-        answer = call_codec.decode_answer(response, entry.node_id, call.service)
+        answer = call_messages.to_answer(reply, call.service)
     except errors.UnreachableError as error:
         views.failed(entry.node_id)
         return messages.refusal(outcomes.Reason.UNREACHABLE, 503, str(error))
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -4,12 +4,15 @@
 
 from sassafras_base import errors
 from sassafras_base import events
-from sassafras_node import http_session
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import local
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
-from sassafras_wire.mesh import call_codec
+from sassafras_policy.calls import progress as progresses
+from sassafras_wire.mesh import call_connection
+from sassafras_wire.mesh import call_messages
+from sassafras_wire.mesh import frames
+from sassafras_wire.peer import models
 
 
 @events.declare(830, "INFO")
@@ -21,35 +24,96 @@
     reason: str,
     remaining_ms: int,
     load: float,
+    rank: int,
+    admission_level: int,
 ) -> str:
     """A call of another node ended without an answer of the target.
 
-    `remaining_ms` is the time that was left to its deadline when it came.
+    `remaining_ms` is the time that was left to its deadline when it came. A
+    request of a caller whose `rank` is not below `admission_level` gets no
+    place in the queue; 0 means that it did not come so far.
     """
     return f"call {request_id} of {peer} ended {outcome} {reason}"
 
 
+@events.declare(834, "WARNING")
+def call_unreadable(peer: str, error: str) -> str:
+    """Another node sent what is no call; its connection was closed."""
+    return f"call of {peer} cannot be read: {error}"
+
+
 async def serve(
     runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
 ) -> None:
     """Serves calls until the other node disconnects."""
+    connection = frames.FrameStream(stream, peer, call_connection.LARGEST_BYTES)
+    try:
+        while await _serve_next(runtime, stream, connection):
+            pass
+    except (errors.ConnectionLostError, errors.UnreachableError):
+        # The other node has gone; its calls have ended there.
+        return
+    except errors.ProtocolError as error:
+        call_unreadable(peer, str(error))
+
+
+async def _serve_next(
+    runtime: runtimes.Runtime,
+    stream: trio.SocketStream,
+    connection: frames.FrameStream,
+) -> bool:
+    """Serves one call; returns False when the connection is done."""
+    message: models.Message | None = None
+    with trio.move_on_after(call_connection.IDLE_TIMEOUT_S):
+        message = await connection.receive()
+    if message is None:
+        return False
+    if not isinstance(message, call_messages.CallMessage):
+        raise errors.ProtocolError(
+            "peer.call", connection.peer, f"a {message.type!r} is no call"
+        )
+    held = len(message.body)
+    if not runtime.body_budget.take(held):
+        await _answer(runtime, connection, _out_of_memory())
+        return True
+    runtime.drain.enter()
+    try:
+        answer: messages.Answer | None = None
+        with runtime.hangups.watch(stream):
+            answer = await _handle(runtime, message, connection.peer)
+        if answer is None:
+            return False
+        await _answer(runtime, connection, answer)
+        return not runtime.drain.is_draining
+    finally:
+        runtime.body_budget.give_back(held)
+        runtime.drain.leave()
 
-    async def handle(request: messages.Request) -> messages.Answer:
-        return await _handle(runtime, request, peer)
 
-    await http_session.serve(
-        runtime, stream, peer, handle, answer_form=call_codec.answer_form
+async def _answer(
+    runtime: runtimes.Runtime,
+    connection: frames.FrameStream,
+    answer: messages.Answer,
+) -> None:
+    await connection.send(
+        call_messages.to_answer_message(answer, runtime.drain.is_draining),
+        progresses.Progress(),
+    )
+
+
+def _out_of_memory() -> messages.Answer:
+    return messages.refusal(
+        outcomes.Reason.MEMORY,
+        503,
+        "this node holds as many bytes of bodies as it may; come back",
     )
 
 
 async def _handle(
-    runtime: runtimes.Runtime, request: messages.Request, peer: str
+    runtime: runtimes.Runtime, message: call_messages.CallMessage, peer: str
 ) -> messages.Answer:
     now = runtime.clock.now()
-    try:
-        received = call_codec.decode_call(request, peer, now)
-    except errors.ProtocolError as error:
-        return messages.refusal(outcomes.Reason.BAD_REQUEST, 400, str(error))
+    received = call_messages.to_call(message, now)
     call = received.call
     answer = await local.serve_within_deadline(
         runtime, call, received.target_id
@@ -64,5 +128,7 @@
             str(answer.reason),
             int((call.context.deadline - now) * 1000),
             round(answer.load, 2),
+            call.context.rank,
+            answer.levels[0][1] if answer.levels else 0,
         )
     return answer
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -1,8 +1,9 @@
 """The root of the supervisor tree of a mesh node.
 
 Children: `store`, `peers`, `targets` and `callers`, each a supervisor of its
-own. One that gives up is restarted here; when that happens too often the root
-gives up and the process exits with an error.
+own, and `hangups`, which notices callers that go away. One that gives up is
+restarted here; when that happens too often the root gives up and the process
+exits with an error.
 """
 
 import functools
@@ -69,13 +70,14 @@
     for listener in listeners:
         await listener.bind()
     root = supervision.Supervisor("node/mesh")
-    children = {
+    children: dict[str, supervision.ChildFunction] = {
         "store": functools.partial(store.run, runtime),
         "peers": functools.partial(
             peers.run, runtime, call_listener, link_listener
         ),
         "targets": functools.partial(targets.run, target_listener),
         "callers": functools.partial(callers.run, *caller_listeners),
+        "hangups": runtime.hangups.run,
     }
     try:
         async with trio.open_nursery() as nursery:
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -33,6 +33,7 @@
 from sassafras_policy.retries import backoff
 from sassafras_policy.retries import guard
 from sassafras_policy.retries import policies as retry_policies
+from sassafras_wire.http import hangups
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import authentication
 from sassafras_wire.peer import link as links
@@ -77,6 +78,7 @@
       watch_unwanted: Set while it is not.
       http_limits: Bounds on requests.
       body_budget: Bytes of request bodies held by all connections.
+      hangups: Notices callers that go away while they are served.
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         )
         self.drain = drains.make_drain()
         http = settings.http
+        self.hangups = hangups.HangupWatcher()
         self.body_budget = http_server.BodyBudget(http.buffered_bytes)
         self.http_limits = http_server.ServerLimits(
             header_bytes=http.header_bytes,
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -1,7 +1,8 @@
 """The root of the supervisor tree.
 
 Children: `store`, `peers`, `membership`, `limits`, `targets`, `callers` and
-`admin`, each a supervisor of its own. One that gives up is restarted here; when
+`admin`, each a supervisor of its own, and `hangups`, which notices callers that
+go away. One that gives up is restarted here; when
 that happens too often the root gives up and the process exits with an error.
 """
 
@@ -66,7 +67,7 @@
     caller_listener, target_listener, peer_listener, admin_listener = listeners
     root = supervision.Supervisor("node")
     runtime.supervisors[root.path] = root
-    children = [
+    children: list[tuple[str, supervision.ChildFunction]] = [
         ("store", functools.partial(store.run, runtime)),
         ("peers", functools.partial(peers.run, runtime, peer_listener)),
         ("membership", functools.partial(membership.run, runtime)),
@@ -74,6 +75,7 @@
         ("targets", functools.partial(targets.run, runtime, target_listener)),
         ("callers", functools.partial(callers.run, runtime, caller_listener)),
         ("admin", functools.partial(admin.run, runtime, admin_listener)),
+        ("hangups", runtime.hangups.run),
     ]
     try:
         async with trio.open_nursery() as nursery:
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -18,6 +18,7 @@
       service: The service that is to run it.
       context: Rank and deadline.
       is_idempotent: Whether it may run more than once.
+      route_name: Name of the route; the second node knows no more of it.
       route: The route; None at the second node, which does not need it.
     """
 
@@ -28,6 +29,7 @@
     service: str
     context: messages.CallContext
     is_idempotent: bool
+    route_name: str = ""
     route: configuration.Route | None = None
 
 
--- a/packages/sassafras-standins/src/sassafras_standins/serving.py
+++ b/packages/sassafras-standins/src/sassafras_standins/serving.py
@@ -9,6 +9,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import client as http_client
+from sassafras_wire.http import hangups
 from sassafras_wire.http import server as http_server
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
@@ -36,32 +37,40 @@
     host, port = http_client.split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host, backlog=1024)
     task_status.started()
-    await trio.serve_listeners(
-        functools.partial(_serve, handler=handler), listeners
-    )
+    watcher = hangups.HangupWatcher()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watcher.run)
+        await trio.serve_listeners(
+            functools.partial(_serve, handler=handler, watcher=watcher),
+            listeners,
+        )
 
 
-async def _serve(stream: trio.SocketStream, handler: Handler) -> None:
+async def _serve(
+    stream: trio.SocketStream,
+    handler: Handler,
+    watcher: hangups.HangupWatcher,
+) -> None:
     connection = http_server.ServerConnection(
         stream, "client", http_server.ServerLimits(idle_timeout_s=600)
     )
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(connection.run_reader)
-        try:
-            while await _serve_next(connection, handler):
-                pass
-        except (
-            http_server.RequestRefusedError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ):
+    try:
+        while await _serve_next(stream, connection, handler, watcher):
             pass
-        nursery.cancel_scope.cancel()
+    except (
+        http_server.RequestRefusedError,
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+    ):
+        pass
     await trio.aclose_forcefully(stream)
 
 
 async def _serve_next(
-    connection: http_server.ServerConnection, handler: Handler
+    stream: trio.SocketStream,
+    connection: http_server.ServerConnection,
+    handler: Handler,
+    watcher: hangups.HangupWatcher,
 ) -> bool:
     """Serves one request; stops its work when the client goes away."""
     if not await connection.await_request():
@@ -70,10 +79,8 @@
     if request is None:
         return False
     reply: messages.Answer | None = None
-    with trio.CancelScope() as scope:
-        connection.cancel_when_gone(scope)
+    with watcher.watch(stream):
         reply = await handler(request)
-    connection.cancel_when_gone(None)
     if reply is None:
         return False
     await connection.send(reply)
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -45,6 +45,24 @@
     return host.strip("[]"), int(port)
 
 
+async def open_stream(
+    address: str, step: str, timeout_s: float
+) -> trio.SocketStream:
+    """Opens a connection to a `host:port` address.
+
+    Raises:
+      UnreachableError: The server did not accept within the time-out.
+    """
+    host, port = split_address(address)
+    try:
+        with trio.fail_after(timeout_s):
+            return await trio.open_tcp_stream(host, port)
+    except (OSError, trio.TooSlowError) as error:
+        raise errors.UnreachableError(
+            step, address, f"cannot connect: {error!r}"
+        ) from None
+
+
 class ClientConnection:
     """Sends one request at a time and reads its response.
 
@@ -75,15 +93,8 @@
         Raises:
           UnreachableError: The server did not accept within the time-out.
         """
-        host, port = split_address(address)
-        try:
-            with trio.fail_after(timeout_s):
-                stream = await trio.open_tcp_stream(host, port)
-                sockets.detect_silence(stream)
-        except (OSError, trio.TooSlowError) as error:
-            raise errors.UnreachableError(
-                step, address, f"cannot connect: {error!r}"
-            ) from None
+        stream = await open_stream(address, step, timeout_s)
+        sockets.detect_silence(stream)
         return cls(stream, address, step, body_limit)
 
     @property
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -1,4 +1,11 @@
-"""A bounded pool of client connections to one server."""
+"""Bounded pools of client connections to one server."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
 
 import trio
 
@@ -8,9 +15,103 @@
 from sassafras_wire.http import client
 
 
-class ConnectionPool:
+class Connection(Protocol):
+    """A connection that carries one exchange at a time."""
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another exchange may follow."""
+        ...
+
+    def is_stale(self) -> bool:
+        """Returns whether the server closed or sent something unasked."""
+        ...
+
+    async def close(self) -> None:
+        """Closes the connection at once."""
+        ...
+
+
+C = TypeVar("C", bound=Connection)
+R = TypeVar("R")
+
+
+class Pool(Generic[C]):
     """Keeps idle connections to one server and limits how many are open."""
 
+    def __init__(self, connect: Callable[[], Awaitable[C]], size: int) -> None:
+        """Makes an empty pool.
+
+        Args:
+          connect: Opens a connection; raises UnreachableError.
+          size: Most connections in use; more exchanges wait for one.
+        """
+        self._connect = connect
+        self._idle: list[C] = []
+        self._permits = trio.CapacityLimiter(size)
+
+    async def use(self, exchange: Callable[[C], Awaitable[R]]) -> R:
+        """Runs an exchange on an idle or a new connection.
+
+        A kept-alive connection that the server closed before anything was
+        sent on it is replaced; that is no second attempt.
+
+        Raises:
+          UnreachableError: No connection could be opened; nothing was sent.
+          ConnectionLostError: The connection ended after sending began.
+          ProtocolError: The server broke the protocol.
+        """
+        holder = object()
+        try:
+            # Without the wait that an acquisition always has, as there nearly
+            # always is a permit.
+            self._permits.acquire_on_behalf_of_nowait(holder)
+        except trio.WouldBlock:
+            await self._permits.acquire_on_behalf_of(holder)
+        try:
+            return await self._use(exchange)
+        finally:
+            self._permits.release_on_behalf_of(holder)
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+    async def _use(self, exchange: Callable[[C], Awaitable[R]]) -> R:
+        while True:
+            connection = await self._take_idle()
+            is_new = connection is None
+            if connection is None:
+                connection = await self._connect()
+            try:
+                result = await exchange(connection)
+            except errors.UnreachableError:
+                await connection.close()
+                if is_new:
+                    raise
+                continue
+            except BaseException:
+                await connection.close()
+                raise
+            if connection.is_reusable:
+                self._idle.append(connection)
+            else:
+                await connection.close()
+            return result
+
+    async def _take_idle(self) -> C | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            await connection.close()
+        return None
+
+
+class ConnectionPool:
+    """HTTP/1.1 connections to one server."""
+
     def __init__(
         self,
         address: str,
@@ -20,12 +121,16 @@
         body_limit: int,
         connect_timeout_s: float,
     ) -> None:
-        self._address = address
-        self._step = step
-        self._body_limit = body_limit
-        self._connect_timeout_s = connect_timeout_s
-        self._idle: list[client.ClientConnection] = []
-        self._permits = trio.CapacityLimiter(size)
+        self._pool = Pool(
+            functools.partial(
+                client.ClientConnection.connect,
+                address,
+                step,
+                body_limit,
+                connect_timeout_s,
+            ),
+            size,
+        )
 
     async def exchange(
         self,
@@ -33,62 +138,17 @@
         progress: progresses.Progress | None = None,
         belongs: client.ResponseCheck | None = None,
     ) -> client.Response:
-        """Sends a request on a pooled connection.
-
-        A kept-alive connection that the server closed before anything was
-        sent on it is replaced; that is no second attempt.
+        """Sends a request on a pooled connection; raises as `Pool.use`.
 
         Args:
           request: The request.
           progress: Is told when the first byte has been handed over.
           belongs: Tells whether a response answers the request.
-
-        Raises:
-          UnreachableError: No connection could be opened; nothing was sent.
-          ConnectionLostError: The connection ended after sending began.
-          ProtocolError: The server broke HTTP/1.1.
         """
-        async with self._permits:
-            while True:
-                connection = await self._take_idle()
-                is_new = connection is None
-                if connection is None:
-                    connection = await self._connect()
-                try:
-                    response = await connection.exchange(
-                        request, progress, belongs
-                    )
-                except errors.UnreachableError:
-                    await connection.close()
-                    if is_new:
-                        raise
-                    continue
-                except BaseException:
-                    await connection.close()
-                    raise
-                if connection.is_reusable:
-                    self._idle.append(connection)
-                else:
-                    await connection.close()
-                return response
+        return await self._pool.use(
+            lambda connection: connection.exchange(request, progress, belongs)
+        )
 
     async def close(self) -> None:
         """Closes the idle connections."""
-        while self._idle:
-            await self._idle.pop().close()
-
-    async def _take_idle(self) -> client.ClientConnection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.close()
-        return None
-
-    async def _connect(self) -> client.ClientConnection:
-        return await client.ClientConnection.connect(
-            self._address,
-            self._step,
-            self._body_limit,
-            self._connect_timeout_s,
-        )
+        await self._pool.close()
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -81,8 +81,7 @@
 class ServerConnection:
     """Reads requests from a stream and writes their answers, in order.
 
-    `run_reader` must run beside the task that calls `receive` and `send`. It
-    notices a client that goes away while its request is being served.
+    All calls are made by the one task of the connection.
 
     Attributes:
       peer: Address of the other side, for errors and logs.
@@ -105,32 +104,8 @@
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        self._received = bytearray()
-        self._at_end = False
         # The answer to HEAD carries the length of a body and not the body.
         self._head_only = False
-        self._arrived = trio.lowlevel.ParkingLot()
-        self._consumed = trio.lowlevel.ParkingLot()
-        self._serving: trio.CancelScope | None = None
-
-    async def run_reader(self) -> None:
-        """Reads from the stream until the other side closes.
-
-        At most `header_bytes` or one read are held ahead of the parser, so a
-        client that pipelines without end is slowed down.
-        """
-        while not self._at_end:
-            try:
-                data = await self._stream.receive_some(_READ_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            self._received += data
-            self._at_end = not data
-            self._arrived.unpark_all()
-            while len(self._received) >= self._limits.header_bytes:
-                await self._consumed.park()
-        if self._serving is not None:
-            self._serving.cancel()
 
     async def await_request(self) -> bool:
         """Waits for the first byte of the next request.
@@ -166,12 +141,6 @@
             f" {self._limits.request_timeout_s:.0f} s",
         )
 
-    def cancel_when_gone(self, scope: trio.CancelScope | None) -> None:
-        """Cancels the scope when the client goes away; None ends that."""
-        self._serving = scope
-        if scope is not None and self._at_end:
-            scope.cancel()
-
     async def send(
         self, answer: messages.Answer, *, close: bool = False
     ) -> None:
@@ -207,12 +176,11 @@
 
     async def _read(self) -> bool:
         """Feeds received bytes to the parser; returns False at the end."""
-        while not self._received and not self._at_end:
-            await self._arrived.park()
-        data = bytes(self._received)
-        self._received.clear()
-        self._consumed.unpark_all()
-        self._connection.receive_data(data)
+        try:
+            data = await self._stream.receive_some(_READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        self._connection.receive_data(bytes(data))
         return bool(data)
 
     async def _receive_whole(self) -> messages.Request | None:
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
@@ -0,0 +1,79 @@
+"""A connection on which this node sends calls to another one."""
+
+import trio
+
+from sassafras_base import errors
+from sassafras_policy.calls import progress as progresses
+from sassafras_wire.http import client
+from sassafras_wire.mesh import call_messages
+from sassafras_wire.mesh import frames
+
+# Longest message in either direction; the bodies of callers are bounded by the
+# configuration, those of targets only by this.
+LARGEST_BYTES = 64 * 1024 * 1024
+# The other side closes a connection that has been idle for longer.
+IDLE_TIMEOUT_S = 60.0
+# A call that is sent as the other side closes may be lost, so the last part of
+# that time is not used.
+_REUSE_SHARE = 0.8
+_STEP = "peer.call"
+
+
+class CallConnection:
+    """Sends one call at a time and receives its answer."""
+
+    def __init__(self, stream: trio.SocketStream, address: str) -> None:
+        self._address = address
+        self._frames = frames.FrameStream(stream, address, LARGEST_BYTES)
+        self._is_reusable = True
+        self._reuse_until = 0.0
+
+    @classmethod
+    async def connect(cls, address: str, timeout_s: float) -> "CallConnection":
+        """Opens a connection.
+
+        Raises:
+          UnreachableError: The node did not accept within the time-out.
+        """
+        return cls(await client.open_stream(address, _STEP, timeout_s), address)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another call may be sent."""
+        return self._is_reusable
+
+    def is_stale(self) -> bool:
+        """Returns whether the other side closed, or may close soon."""
+        if trio.current_time() >= self._reuse_until:
+            return True
+        return self._frames.is_readable
+
+    async def exchange(
+        self, call: call_messages.CallMessage, progress: progresses.Progress
+    ) -> call_messages.AnswerMessage:
+        """Sends a call and returns the answer.
+
+        Raises:
+          UnreachableError: The connection was lost before the whole call was
+            sent; it did not run.
+          ConnectionLostError: The connection ended without an answer; the call
+            may have run.
+          ProtocolError: The answer is not valid.
+        """
+        await self._frames.send(call, progress)
+        answer = await self._frames.receive()
+        if answer is None:
+            raise errors.ConnectionLostError(
+                _STEP, self._address, "closed before it answered"
+            )
+        if not isinstance(answer, call_messages.AnswerMessage):
+            raise errors.ProtocolError(
+                _STEP, self._address, f"a {answer.type!r} is no answer"
+            )
+        self._is_reusable = not answer.is_last
+        self._reuse_until = trio.current_time() + IDLE_TIMEOUT_S * _REUSE_SHARE
+        return answer
+
+    async def close(self) -> None:
+        """Closes the connection at once."""
+        self._frames.close()
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -0,0 +1,187 @@
+"""Messages of a call between two nodes, in CBOR."""
+
+import dataclasses
+from typing import Literal
+
+import pydantic
+
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.mesh import calls
+from sassafras_wire.peer import models
+
+
+@models.message_types.register("mesh_call")
+class CallMessage(models.Message):
+    """A call for the target beside the receiving node.
+
+    Attributes:
+      request_id: Id that the caller gave it; empty without one.
+      caller_service: Service on the host where the request began.
+      organisation: Organisation of the key; empty on open routes.
+      service: The service that is to run it.
+      route: Name of the route.
+      target_id: The target that the first node chose.
+      remaining_ms: Time left until its deadline.
+      priority: Rank of its class; 0 is the most important.
+      bucket: Place within its class.
+      depth: Calls above it; 0 for a request of a caller.
+      is_idempotent: Whether it may run more than once.
+      method: HTTP method.
+      path: Path and query.
+      headers: Header fields that travel on, names in lower case.
+      body: The whole body.
+    """
+
+    type: Literal["mesh_call"] = "mesh_call"
+    request_id: str = ""
+    caller_service: str = ""
+    organisation: str = ""
+    service: str
+    route: str = ""
+    target_id: str = ""
+    remaining_ms: int
+    priority: int = pydantic.Field(ge=0)
+    bucket: int = pydantic.Field(ge=0, lt=messages.BUCKET_COUNT)
+    depth: int = pydantic.Field(ge=0)
+    is_idempotent: bool
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+@models.message_types.register("mesh_answer")
+class AnswerMessage(models.Message):
+    """How a call ended.
+
+    Attributes:
+      outcome: Whether it ran.
+      reason: Why it was refused or is unknown.
+      status: HTTP status code.
+      headers: Header fields for the caller.
+      body: The whole body.
+      load: Load of the target, 1.0 when its limit is in use.
+      level: Admission level of the target and of what it calls; None if the
+        call did not come so far.
+      sub_call_failed: Whether a call that the target made had failed.
+      is_last: Whether the node takes no more calls on this connection.
+    """
+
+    type: Literal["mesh_answer"] = "mesh_answer"
+    outcome: outcomes.Outcome
+    reason: outcomes.Reason = outcomes.Reason.NONE
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    load: float = 0.0
+    level: int | None = None
+    sub_call_failed: bool = False
+    is_last: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedCall:
+    """A call as the second node gets it.
+
+    Attributes:
+      call: The call.
+      target_id: The target that the first node chose.
+    """
+
+    call: calls.Call
+    target_id: str
+
+
+def to_message(
+    call: calls.Call, target_id: str, remaining_s: float
+) -> CallMessage:
+    """Returns the message that carries a call to the node of its target.
+
+    Args:
+      call: The call.
+      target_id: The chosen target.
+      remaining_s: Time left until the deadline of the call.
+    """
+    return CallMessage(
+        request_id=call.request_id,
+        caller_service=call.caller_service,
+        organisation=call.organisation,
+        service=call.service,
+        route=call.route_name,
+        target_id=target_id,
+        remaining_ms=max(0, int(remaining_s * 1000)),
+        priority=call.context.priority,
+        bucket=call.context.bucket,
+        depth=call.context.depth,
+        is_idempotent=call.is_idempotent,
+        method=call.request.method,
+        path=call.request.path,
+        headers=call.request.headers,
+        body=call.request.body,
+    )
+
+
+def to_call(message: CallMessage, now: float) -> ReceivedCall:
+    """Returns the call in a message.
+
+    Args:
+      message: The message.
+      now: When it came, on this node's clock in seconds.
+    """
+    call = calls.Call(
+        request=messages.Request(
+            message.method, message.path, message.headers, message.body
+        ),
+        request_id=message.request_id,
+        caller_service=message.caller_service,
+        organisation=message.organisation,
+        service=message.service,
+        context=messages.CallContext(
+            root_id=message.request_id,
+            organisation=message.organisation,
+            priority=message.priority,
+            bucket=message.bucket,
+            deadline=now + message.remaining_ms / 1000,
+            depth=message.depth,
+            at_most_once=not message.is_idempotent,
+        ),
+        is_idempotent=message.is_idempotent,
+        route_name=message.route,
+    )
+    return ReceivedCall(call, message.target_id)
+
+
+def to_answer_message(answer: messages.Answer, is_last: bool) -> AnswerMessage:
+    """Returns the message that carries an answer to the first node."""
+    return AnswerMessage(
+        outcome=answer.outcome,
+        reason=answer.reason,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+        load=answer.load,
+        level=answer.levels[0][1] if answer.levels else None,
+        sub_call_failed=answer.sub_call_failed,
+        is_last=is_last,
+    )
+
+
+def to_answer(message: AnswerMessage, service: str) -> messages.Answer:
+    """Returns the answer in a message.
+
+    Args:
+      message: The message.
+      service: The service that was called.
+    """
+    level = message.level
+    return messages.Answer(
+        outcome=message.outcome,
+        reason=message.reason,
+        status=message.status,
+        headers=message.headers,
+        body=message.body,
+        load=message.load,
+        levels=() if level is None else ((service, level),),
+        sub_call_failed=message.sub_call_failed,
+    )
--- a/tests/contract/test_ambiguous_requests.py
+++ b/tests/contract/test_ambiguous_requests.py
@@ -17,7 +17,6 @@
         b"POST / HTTP/1.1\r\nhost: h\r\n" + head + b"\r\n" + body
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(connection.run_reader)
         assert await connection.await_request()
         try:
             await connection.receive()
--- a/tests/contract/test_body_budget.py
+++ b/tests/contract/test_body_budget.py
@@ -13,7 +13,6 @@
     """Returns a connection and the request of one client."""
     near, far = trio.testing.memory_stream_pair()
     connection = server.ServerConnection(near, "client", LIMITS, budget)
-    nursery.start_soon(connection.run_reader)
     head = f"POST /desk HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
     await far.send_all(f"{head}\r\n\r\n".encode() + body)
     assert await connection.await_request()
@@ -41,7 +40,6 @@
     near, far = trio.testing.memory_stream_pair()
     connection = server.ServerConnection(near, "client", LIMITS, budget)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(connection.run_reader)
         await far.send_all(
             b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n"
         )
--- /dev/null
+++ b/tests/mesh/test_call_connections.py
@@ -0,0 +1,202 @@
+"""Connections on which nodes send calls to each other."""
+
+import struct
+
+import pytest
+import trio
+
+from sassafras_base import errors
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import progress as progresses
+from sassafras_standins.fleet import launcher
+from sassafras_wire.http import hangups
+from sassafras_wire.http import pool
+from sassafras_wire.mesh import call_connection
+from sassafras_wire.mesh import call_messages
+from sassafras_wire.mesh import frames
+
+pytestmark = pytest.mark.loopback
+
+CALL = call_messages.CallMessage(
+    service="front",
+    route="safe",
+    remaining_ms=1000,
+    priority=1,
+    bucket=3,
+    depth=0,
+    is_idempotent=False,
+    method="POST",
+    path="/write/1",
+    headers=(("host", "shop.example"),),
+    body=bytes(range(256)) * 1024,
+)
+
+
+class _Peer:
+    """The other side of connections; each is given to `serve`."""
+
+    def __init__(self, nursery, serve):
+        self.address = launcher.free_address()
+        self._nursery = nursery
+        self._serve = serve
+        self.connections = 0
+
+    async def start(self):
+        host, port = self.address.rsplit(":", 1)
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        self._nursery.start_soon(trio.serve_listeners, self._handle, listeners)
+
+    async def _handle(self, stream):
+        self.connections += 1
+        await self._serve(stream)
+
+    async def connect(self):
+        return await call_connection.CallConnection.connect(self.address, 1.0)
+
+
+async def _with_peer(serve, use):
+    async with trio.open_nursery() as nursery:
+        peer = _Peer(nursery, serve)
+        await peer.start()
+        with trio.fail_after(5):
+            await use(peer)
+        nursery.cancel_scope.cancel()
+
+
+async def _answer_calls(stream, is_last=False):
+    other = frames.FrameStream(stream, "caller", call_connection.LARGEST_BYTES)
+    while (call := await other.receive()) is not None:
+        answer = messages.Answer(
+            outcome=outcomes.Outcome.RAN,
+            status=201,
+            headers=(("etag", "x"),),
+            body=call.body,
+            load=0.5,
+            levels=((call.service, 200),),
+        )
+        await other.send(
+            call_messages.to_answer_message(answer, is_last),
+            progresses.Progress(),
+        )
+
+
+async def test_a_call_and_its_answer_arrive_whole():
+    """Guards against bodies that are cut or mixed between two calls."""
+
+    async def use(peer):
+        connection = await peer.connect()
+        for _ in range(2):
+            reply = await connection.exchange(CALL, progresses.Progress())
+            answer = call_messages.to_answer(reply, "front")
+            assert (answer.status, answer.body) == (201, CALL.body)
+            assert answer.levels == (("front", 200),)
+            assert connection.is_reusable
+            assert not connection.is_stale()
+
+    await _with_peer(_answer_calls, use)
+
+
+async def test_a_call_that_was_cut_off_is_known_not_to_have_run():
+    """Guards against a 502 for a call of which no node read the end."""
+
+    async def close_at_once(stream):
+        await trio.aclose_forcefully(stream)
+
+    async def use(peer):
+        connection = await peer.connect()
+        await trio.sleep(0.05)
+        progress = progresses.Progress()
+        with pytest.raises(errors.SassafrasError) as lost:
+            await connection.exchange(CALL, progress)
+        is_unreachable = isinstance(lost.value, errors.UnreachableError)
+        assert progress.may_have_run is not is_unreachable
+
+    await _with_peer(close_at_once, use)
+
+
+async def test_a_lost_answer_leaves_open_whether_the_call_ran():
+    """Guards against a second run of a call that has run."""
+
+    async def read_and_close(stream):
+        other = frames.FrameStream(
+            stream, "caller", call_connection.LARGEST_BYTES
+        )
+        await other.receive()
+        await trio.aclose_forcefully(stream)
+
+    async def use(peer):
+        connection = await peer.connect()
+        progress = progresses.Progress()
+        with pytest.raises(errors.ConnectionLostError):
+            await connection.exchange(CALL, progress)
+        assert progress.may_have_run
+
+    await _with_peer(read_and_close, use)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        struct.pack("!I", 2**31),
+        struct.pack("!I", 3) + b"abc",
+        struct.pack("!I", 1) + b"\xa0",
+    ],
+)
+async def test_bytes_that_are_no_answer_are_refused(data):
+    """Guards against a node that crashes or waits for broken answers."""
+
+    async def send(stream):
+        other = frames.FrameStream(
+            stream, "caller", call_connection.LARGEST_BYTES
+        )
+        await other.receive()
+        await stream.send_all(data)
+        await trio.sleep_forever()
+
+    async def use(peer):
+        connection = await peer.connect()
+        with pytest.raises(errors.ProtocolError):
+            await connection.exchange(CALL, progresses.Progress())
+
+    await _with_peer(send, use)
+
+
+async def test_a_connection_that_the_other_side_ends_is_not_used_again():
+    """Guards against calls that are lost at a node that stops."""
+
+    async def answer_last(stream):
+        await _answer_calls(stream, is_last=True)
+
+    async def use(peer):
+        connections = pool.Pool(peer.connect, 4)
+        for _ in range(2):
+            await connections.use(
+                lambda c: c.exchange(CALL, progresses.Progress())
+            )
+        assert peer.connections == 2
+
+    await _with_peer(answer_last, use)
+
+
+async def test_work_ends_soon_after_its_caller_has_left():
+    """Guards against targets that work for nobody."""
+    ended = trio.Event()
+
+    async def serve(stream):
+        watcher = hangups.HangupWatcher()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            with watcher.watch(stream):
+                await trio.sleep_forever()
+            ended.set()
+            nursery.cancel_scope.cancel()
+
+    async def use(peer):
+        connection = await peer.connect()
+        await trio.sleep(0.2)
+        assert not ended.is_set()
+        await connection.close()
+        await ended.wait()
+
+    await _with_peer(serve, use)
