Give calls the rank of their request, and keep one root request's calls together

Calls of targets have no key, so they all had the rank of their own route; the queue served them by deadline, each root request waited at each of its calls, and ran out of time at the last. The level went on tightening while the queue held calls of requests admitted before, and then admitted half of what the target could serve.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -106,7 +106,9 @@
         if answer.outcome is outcomes.Outcome.NOT_RUN:
             trail.progress.may_have_run = may_have_run
         for service, level in answer.levels:
-            runtime.heard_levels.heard(service, level, runtime.clock.now())
+            runtime.downstream.heard(
+                service, call.route_name, level, runtime.clock.now()
+            )
         if not _may_send_again(runtime, call, trail, answer):
             return answer
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -54,8 +54,6 @@
         call = None
     else:
         call = admitted
-        if call.context.depth:
-            runtime.called_services.add(call.service)
         answer = await dispatch.dispatch(runtime, call, trail)
         if call.context.depth and answer.status >= 500:
             runtime.sub_call_failed_at = runtime.clock.now()
@@ -145,28 +143,60 @@
     if organisation is not None and organisation.priority is not None:
         priority = organisation.priority
     name = organisation.account.name if organisation else ""
-    bucket = hashing.stable_hash(entry.request_id) % messages.BUCKET_COUNT
+    service = runtime.routing.service_for(route)
+    context = messages.CallContext(
+        root_id=entry.request_id,
+        organisation=name,
+        priority=priority,
+        bucket=hashing.stable_hash(entry.request_id) % messages.BUCKET_COUNT,
+        deadline=now + patience_s - _ANSWER_MARGIN_S,
+        # Only targets make calls on open routes of their own.
+        depth=int(organisation is None),
+        at_most_once=not route.is_idempotent,
+    )
+    if organisation is None:
+        context = _under_parent(runtime, entry, route, service, context)
     return calls.Call(
         request=entry.request,
         request_id=entry.request_id,
         caller_service=runtime.settings.host.target_service,
         organisation=name,
-        service=runtime.routing.service_for(route),
-        context=messages.CallContext(
-            root_id=entry.request_id,
-            organisation=name,
-            priority=priority,
-            bucket=bucket,
-            deadline=now + patience_s - _ANSWER_MARGIN_S,
-            # Only targets make calls on open routes of their own.
-            depth=int(organisation is None),
-            at_most_once=not route.is_idempotent,
-        ),
+        service=service,
+        context=context,
         is_idempotent=route.is_idempotent,
+        route_name=route.name,
         route=route,
     )
 
 
+def _under_parent(
+    runtime: runtimes.Runtime,
+    entry: interfaces.EntryRequest,
+    route: configuration.Route,
+    service: str,
+    context: messages.CallContext,
+) -> messages.CallContext:
+    """Returns the context of a call that the target beside has made.
+
+    It has the rank of the request that it is made for: with the rank of its
+    own route, a service below could not tell the calls of a settlement from
+    those of a status check, and refused the whole of both.
+    """
+    parent = runtime.in_service.get(entry.parent_id)
+    if parent is None:
+        for running in runtime.in_service.values():
+            runtime.downstream.learn(running.route_name, service, route.name)
+        return context
+    runtime.downstream.learn(parent.route_name, service, route.name)
+    return dataclasses.replace(
+        context,
+        priority=parent.context.priority,
+        bucket=parent.context.bucket,
+        deadline=min(context.deadline, parent.context.deadline),
+        depth=parent.context.depth + 1,
+    )
+
+
 def _unless_outdated(
     runtime: runtimes.Runtime, reason: outcomes.Reason, status: int
 ) -> messages.Answer:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -61,7 +61,7 @@
     return dataclasses.replace(
         answer,
         load=gate.load,
-        levels=((call.service, runtime.effective_level()),),
+        levels=((call.service, runtime.effective_level(call)),),
     )
 
 
@@ -75,6 +75,7 @@
     front_end = runtime.platform.front_end
     started = runtime.clock.now()
     answered = False
+    runtime.in_service[call.request_id] = call
     try:
         response = await runtime.target.pool.exchange(
             front_end.target_request(
@@ -114,6 +115,7 @@
             outcomes.Reason.TARGET_PROTOCOL, 502, str(error)
         )
     finally:
+        runtime.in_service.pop(call.request_id, None)
         if answered:
             gate.leave(runtime.clock.now() - started, True)
         else:
--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -95,6 +95,8 @@
       request: The request, without fields that the node itself sets.
       host: Value of the `Host` field, without a port.
       request_id: Id that the caller gave it; empty without one.
+      parent_id: Id of the request that a target makes this call for; empty
+        if that is not known.
       key: The caller's key; None without one.
       patience_s: How long the caller will wait; None if it does not say.
     """
@@ -102,6 +104,7 @@
     request: messages.Request
     host: str
     request_id: str
+    parent_id: str
     key: str | None
     patience_s: float | None
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -15,12 +15,12 @@
 from sassafras_node.mesh.peers import call_pools
 from sassafras_node.mesh.targets import beside
 from sassafras_node.peers import views
-from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import roster as rosters
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import configuration
+from sassafras_policy.mesh import downstream
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
 from sassafras_policy.mesh import routing
@@ -60,8 +60,8 @@
       limiter: Rates of organisations.
       limit_gate: Admission by the limiter.
       call_pools: Connections for calls to other nodes.
-      heard_levels: Admission levels of services, learnt from answers.
-      called_services: Services that the target beside the node has called.
+      downstream: Admission levels of services below, learnt from answers.
+      in_service: Calls that the target beside the node is running, by id.
       drain: Work in flight and planned stop.
       lease: Lease of this node's entry; 0 for none.
       knows_fleet: Whether the entries of all nodes have been read once.
@@ -105,8 +105,8 @@
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
         self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
         self.call_pools = call_pools.CallPools()
-        self.heard_levels = levels.HeardLevels()
-        self.called_services: set[str] = set()
+        self.downstream = downstream.DownstreamLevels()
+        self.in_service: dict[str, calls.Call] = {}
         self.drain = drains.make_drain()
         self.is_leaving = False
         self.knows_fleet = False
@@ -176,6 +176,7 @@
             idle_timeout_s=limits.idle_timeout_s,
         )
         self.target.set_class_count(_class_count(decoded))
+        self.downstream.keep_routes(frozenset(r.name for r in decoded.routes))
         self.configure_limiter()
         return True
 
@@ -239,20 +240,17 @@
         if isinstance(self.limiter, limiters.DemandListener):
             self.limiter.forget(node_id)
 
-    def effective_level(self) -> int:
-        """Returns the admission level of the target and of all that it calls.
+    def effective_level(self, call: calls.Call) -> int:
+        """Returns the lowest admission level that a call meets from here on.
 
-        Each service passes on the lowest level below it, so that the first
-        node refuses what would fail further on. Services that call each other
-        in a circle would keep their levels down; the levels open in silence.
+        Each node passes on the lowest level below it, so that the first node
+        refuses what would fail further on. Routes that call each other in a
+        circle would keep their levels down; the levels open in silence.
         """
-        now = self.clock.now()
-        level = self.target.gate.level
-        opened = self.target.gate.open_level
-        for service in self.called_services:
-            heard = self.heard_levels.value(service, opened, now)
-            level = min(level, int(heard))
-        return level
+        gate = self.target.gate
+        return self.downstream.lowest(
+            call.route_name, gate.level, gate.open_level, self.clock.now()
+        )
 
     def is_shed(self, call: calls.Call) -> bool:
         """Returns whether a new request is refused for the levels heard.
@@ -261,13 +259,13 @@
         """
         if call.context.depth:
             return False
-        refusing = self.heard_levels.refusing(
-            frozenset([call.service]),
+        return self.downstream.refuses(
+            call.service,
+            call.route_name,
             call.context,
             self.target.gate.open_level,
             self.clock.now(),
         )
-        return refusing is not None
 
     def publish_entry(self) -> None:
         """Wakes the tasks that tell others about this node."""
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -19,12 +19,12 @@
 
 
 @events.declare(310, "WARNING")
-def target_overloaded(level: int, limit: int) -> str:
+def target_overloaded(admission_level: int, limit: int) -> str:
     """The target beside the node gets more calls than it can serve.
 
     The node refuses the least important ones. See docs/operators/overload.md.
     """
-    return f"target overloaded: level {level}, limit {limit}"
+    return f"target overloaded: level {admission_level}, limit {limit}"
 
 
 @events.declare(311, "INFO")
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -268,6 +268,7 @@
             self.limit,
             now,
             self._longest_wait_s(context, now),
+            context.bucket,
         )
         if ticket is None or displaced is not None:
             self._levels.dropped(queueing.MAXIMUM_WAIT_S)
--- a/packages/sassafras-policy/src/sassafras_policy/admission/queueing.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/queueing.py
@@ -13,14 +13,18 @@
 
     Attributes:
       priority: Index of its class; the most important goes first.
-      deadline: Time after which its answer is of no use. Within a class the
-        earliest goes first, as most work has gone into that root request.
+      bucket: Place of its root request within the class. All calls of a root
+        request have the same one, so that under overload some root requests
+        get all of their calls served at once, and not all of them a part.
+      deadline: Time after which its answer is of no use. The earliest goes
+        first, as most work has gone into that root request.
       number: Order of arrival.
       queued_at: When it arrived.
       longest_wait_s: How long it may wait for a place.
     """
 
     priority: int
+    bucket: int
     deadline: float
     number: int
     queued_at: float
@@ -33,7 +37,7 @@
 
 
 class WaitingQueue:
-    """A short queue ordered by class and deadline."""
+    """A short queue ordered by class, bucket and deadline."""
 
     def __init__(self) -> None:
         self._tickets: list[Ticket] = []
@@ -50,6 +54,7 @@
         limit: int,
         now: float,
         longest_wait_s: float = MAXIMUM_WAIT_S,
+        bucket: int = 0,
     ) -> tuple[Ticket | None, Ticket | None]:
         """Adds a call; a full queue gives up the least important one.
 
@@ -59,7 +64,7 @@
         """
         self._next_number += 1
         ticket = Ticket(
-            priority, deadline, self._next_number, now, longest_wait_s
+            priority, bucket, deadline, self._next_number, now, longest_wait_s
         )
         displaced: Ticket | None = None
         if len(self._tickets) >= _CALLS_PER_PLACE * limit:
--- a/tests/contract/test_admission_decisions.py
+++ b/tests/contract/test_admission_decisions.py
@@ -125,6 +125,22 @@
     assert [tickets.index(queue.pop()) for _ in arrivals] == expected
 
 
+def test_within_a_class_calls_of_the_same_root_requests_go_first():
+    """Guards against an overload in which every root request fails.
+
+    Each makes several calls in a row. Served by deadline alone, all of them
+    waited at each call and ran out of time at the last one.
+    """
+    policy = policies.Adaptive(1, CLASSES)
+    assert policy.decide(_context(), 0.0).admitted
+    old = policy.decide(_context(bucket=90, depth=1, deadline=3.0), 0.0).ticket
+    new = policy.decide(_context(bucket=10, depth=1, deadline=9.0), 0.0).ticket
+    policy.finished(0.1, True, 0.1)
+    assert policy.release(0.1).admitted == (new,)
+    policy.finished(0.1, True, 0.2)
+    assert policy.release(0.2).admitted == (old,)
+
+
 def test_a_full_queue_gives_up_its_least_important_call():
     """Guards against an at-most-once call refused for a status check (G2)."""
     queue = queueing.WaitingQueue()
@@ -150,9 +166,9 @@
 
 def test_a_wait_ends_with_the_deadline_or_after_the_longest_wait():
     """Guards against calls that wait longer than their callers."""
-    ticket = queueing.Ticket(0, 0.03, 1, 0.0)
+    ticket = queueing.Ticket(0, 0, 0.03, 1, 0.0)
     assert ticket.wait_s(0.01) == pytest.approx(0.02)
-    ticket = queueing.Ticket(0, 9.0, 1, 0.0)
+    ticket = queueing.Ticket(0, 0, 9.0, 1, 0.0)
     assert ticket.wait_s(0.0) == queueing.MAXIMUM_WAIT_S
     assert ticket.wait_s(9.0) == 0.0
 
@@ -331,3 +347,31 @@
     root = policy.decide(_context(priority=0, depth=0, deadline=0.8), 0.0)
     assert root.ticket is not None
     assert root.ticket.wait_s(0.0) == queueing.MAXIMUM_WAIT_S
+
+
+@pytest.mark.parametrize(
+    ("waits_s", "kept"),
+    [
+        # The queue is worked off after two changes.
+        ([0.05, 0.1, 0.09, 0.08, 0.06, 0.04], 0.88**2),
+        # It stays, as it holds the calls of requests admitted before.
+        ([0.1] * 12, 0.88**4),
+    ],
+)
+def test_an_excess_is_answered_once(waits_s, kept):
+    """Guards against a surge after which less than half is admitted.
+
+    Requests that were admitted before the level changed bring their calls for
+    a second more, and these still wait for long.
+    """
+    controller = levels.LevelController(CLASSES)
+    rng = random.Random(7)
+    now = 0.0
+    for wait_s in waits_s:
+        for _ in range(200):
+            controller.arrived(rng.randrange(OPEN), now)
+            controller.waited(wait_s)
+        controller.found_full()
+        now += 0.11
+        level = controller.value(now)
+    assert level / OPEN == pytest.approx(kept, abs=0.05)
