End a connection exactly when its last answer said so; keep calls without an id apart

Cause, by reading: the drain was looked at again after the answer had been sent, so a connection could be closed that the other node took for open; its next call would have been lost. Calls without an id shared one entry in the register of running calls.

Change: one decision for the answer and the connection; no entry without an id.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -75,7 +75,8 @@
     front_end = runtime.platform.front_end
     started = runtime.clock.now()
     answered = False
-    runtime.in_service[call.request_id] = call
+    if call.request_id:
+        runtime.in_service[call.request_id] = call
     try:
         response = await runtime.target.pool.exchange(
             front_end.target_request(
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -74,8 +74,7 @@
         )
     held = len(message.body)
     if not runtime.body_budget.take(held):
-        await _answer(runtime, connection, _out_of_memory())
-        return True
+        return await _answer(runtime, connection, _out_of_memory())
     runtime.drain.enter()
     try:
         answer: messages.Answer | None = None
@@ -83,8 +82,7 @@
             answer = await _handle(runtime, message, connection.peer)
         if answer is None:
             return False
-        await _answer(runtime, connection, answer)
-        return not runtime.drain.is_draining
+        return await _answer(runtime, connection, answer)
     finally:
         runtime.body_budget.give_back(held)
         runtime.drain.leave()
@@ -94,11 +92,13 @@
     runtime: runtimes.Runtime,
     connection: frames.FrameStream,
     answer: messages.Answer,
-) -> None:
+) -> bool:
+    """Sends an answer; returns whether another call may follow."""
+    is_last = runtime.drain.is_draining
     await connection.send(
-        call_messages.to_answer_message(answer, runtime.drain.is_draining),
-        progresses.Progress(),
+        call_messages.to_answer_message(answer, is_last), progresses.Progress()
     )
+    return not is_last
 
 
 def _out_of_memory() -> messages.Answer:
