Add a fault soak of real nodes under overlapping faults

Cause: faults were tested one at a time, and in the same process; the promises on them had no test while signals, restarts and outages overlap.

Change: make soak runs nodes as processes against the stand-ins of the platform, with faults from a registry drawn from a seed: nodes killed, stopped, frozen and signalled; the store silent, busy, slow, losing answers, forgetting its history; links to it delayed, reset, silenced or cut one way; endpoints failing, slow, replaced; versions and withdrawn keys. It checks at-most-once, refusals, answers, fields, withdrawn keys, leaving endpoints and recovery from what callers and endpoints saw. The emulator and the soak start nodes through one class.

Found: two emulators on one machine kept each other's nodes from starting, as all used 127.0.0.2 and the fixed port for metrics; each has a network of its own now. Ids of calls in the stand-in have the form that the platform uses.

Not covered: clocks that jump, links between nodes, lost requests around planned stops.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PROJECTS := $(foreach p,$(PACKAGES),packages/sassafras-$(p)/pyproject.toml) \
   platform/pyproject.toml
 
-.PHONY: demo demo-shell emulate test measure capacity lint format docs setup
+.PHONY: demo demo-shell emulate soak test measure capacity lint format docs setup
 
 setup: $(STAMP)
 
@@ -28,6 +28,9 @@
 emulate: $(STAMP)
 	$(BIN)/python -m sassafras_standins.platform
 
+soak: $(STAMP)
+	$(BIN)/python -m sassafras_standins.soak
+
 test: $(STAMP)
 	$(BIN)/python -m pytest tests
 
--- a/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
@@ -4,13 +4,9 @@
 two versions by running this with the same seed.
 """
 
-import os
 import pathlib
 import random
 import resource
-import signal
-import subprocess
-import sys
 import tempfile
 
 from absl import app
@@ -24,6 +20,7 @@
 from sassafras_standins.platform import documents
 from sassafras_standins.platform import endpoint
 from sassafras_standins.platform import machines
+from sassafras_standins.platform import processes
 from sassafras_standins.platform import store as store_standin
 from sassafras_wire.http import client
 
@@ -56,8 +53,7 @@
     documents.RouteRow("inner", _HOST, "/inner/", "back", is_public=True),
 )
 _PATHS = (("GET", "/read/1"), ("POST", "/write/1"))
-_START_TIMEOUT_S = 20.0
-_STOP_TIMEOUT_S = 10.0
+_SETTLE_S = 2.0
 _BODY_LIMIT = 1024 * 1024
 _SLOW_FACTOR = 8.0
 
@@ -75,27 +71,6 @@
             self.latency_us.record_value(max(1, int(latency_s * 1e6)))
 
 
-def _start_node(
-    machine: machines.Machine, folder: str, store_address: str, profile: str
-) -> subprocess.Popen[bytes]:
-    path = pathlib.Path(folder) / f"{machine.name}.json"
-    path.write_bytes(machine.boot_file(store_address))
-    profiler = ["-m", "cProfile", "-o", profile] if profile else []
-    with (pathlib.Path(folder) / f"{machine.name}.log").open("ab") as log:
-        return subprocess.Popen(
-            [
-                sys.executable,
-                *profiler,
-                "-m",
-                "sassafras_platform",
-                f"--settings={_SETTINGS.value}",
-            ],
-            env={**os.environ, "SASSAFRASMOUNT_BOOT": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-
-
 async def _ask(
     machine: machines.Machine, number: int, rng: random.Random, to: _Results
 ) -> None:
@@ -138,7 +113,7 @@
 async def _cause_fault(
     store: store_standin.MetadataStore,
     endpoints: list[endpoint.Endpoint],
-    nodes: list[subprocess.Popen[bytes]],
+    nodes: list[processes.NodeProcess],
 ) -> None:
     await trio.sleep(_SECONDS.value / 3)
     if _FAULT.value == "store-silent":
@@ -148,33 +123,12 @@
     elif _FAULT.value == "endpoint-slow":
         endpoints[0].behaviour.slow = _SLOW_FACTOR
     elif _FAULT.value == "node-kill":
-        nodes[-1].kill()
+        await nodes[-1].kill()
     await trio.sleep(_SECONDS.value / 3)
     store.mode = store_standin.Mode.NORMAL
     endpoints[0].behaviour.slow = 1.0
 
 
-async def _await_ready(fleet: list[machines.Machine]) -> None:
-    ask = messages.Request("GET", "/sassafrasmount/ready", (), b"")
-    with trio.fail_after(_START_TIMEOUT_S):
-        for machine in fleet:
-            while True:
-                await trio.sleep(0.1)
-                try:
-                    connection = await client.ClientConnection.connect(
-                        machine.address("Ready"), "emulator.ready", 4096, 1.0
-                    )
-                    response = await connection.exchange(ask)
-                    await connection.close()
-                except errors.SassafrasError:
-                    # The node is still starting.
-                    continue
-                if response.status == 200:
-                    break
-    # Endpoints announce themselves, and nodes hear of each other.
-    await trio.sleep(2.0)
-
-
 async def _main_async() -> None:
     services = ("front", "back")
     fleet = [
@@ -201,16 +155,21 @@
         ),
     )
     results = _Results()
-    nodes: list[subprocess.Popen[bytes]] = []
+    nodes: list[processes.NodeProcess] = []
     with tempfile.TemporaryDirectory() as folder:
         try:
             async with trio.open_nursery() as nursery:
                 await nursery.start(store.run, store_address)
                 for machine in fleet:
-                    profile = "" if nodes else _PROFILE.value
-                    nodes.append(
-                        _start_node(machine, folder, store_address, profile)
+                    node = processes.NodeProcess(
+                        machine,
+                        pathlib.Path(folder),
+                        store_address,
+                        _SETTINGS.value,
+                        "" if nodes else _PROFILE.value,
                     )
+                    node.start()
+                    nodes.append(node)
                 endpoints = [
                     endpoint.Endpoint(
                         machine.endpoint_settings(work_s=_WORK_MS.value / 1000)
@@ -219,16 +178,19 @@
                 ]
                 for server in endpoints:
                     await nursery.start(server.run)
-                await _await_ready(fleet)
+                for node in nodes:
+                    await node.until_ready()
+                # Endpoints announce themselves, and nodes hear of each other.
+                await trio.sleep(_SETTLE_S)
                 async with trio.open_nursery() as load:
                     load.start_soon(_load, fleet, results)
                     load.start_soon(_cause_fault, store, endpoints, nodes)
                 nursery.cancel_scope.cancel()
         finally:
-            for node in nodes:
-                node.send_signal(signal.SIGTERM)
-            for node in nodes:
-                node.wait(_STOP_TIMEOUT_S)
+            with trio.CancelScope(shield=True):
+                async with trio.open_nursery() as stopping:
+                    for node in nodes:
+                        stopping.start_soon(node.stop)
     _print(results, store)
 
 
--- a/packages/sassafras-standins/src/sassafras_standins/platform/endpoint.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/endpoint.py
@@ -83,6 +83,7 @@
       target_id: Its id; new with each start.
       state: What its heartbeats say.
       runs: How often each request id was run.
+      last_run_at: When the last run began, on trio's clock; 0 before.
       seen: Header fields of the last run of each request id.
     """
 
@@ -92,6 +93,7 @@
         self.target_id = f"i-{secrets.token_hex(5)}"
         self.state = "ready"
         self.runs: dict[str, int] = {}
+        self.last_run_at = 0.0
         self.seen: dict[str, dict[str, str]] = {}
         self._born_ms = int(time.time() * 1000)
         self._sequence = 0
@@ -124,6 +126,7 @@
             return self._rejected(503)
         async with self._slots:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            self.last_run_at = trio.current_time()
             self.seen[request_id] = dict(request.headers)
             await trio.sleep(self.settings.work_s * self.behaviour.slow)
             failed = not await self._make_calls(request, request_id)
@@ -185,7 +188,7 @@
                     call.path,
                     (
                         ("host", call.host),
-                        ("request-id", f"{request_id}-{number}"),
+                        ("request-id", f"{request_id}.{number}"),
                         (
                             "deadline-ms",
                             request.header("deadline-ms") or "1000",
--- a/packages/sassafras-standins/src/sassafras_standins/platform/machines.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/machines.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 import itertools
+import os
 
 from sassafras_standins.fleet import launcher
 from sassafras_standins.platform import documents
 from sassafras_standins.platform import endpoint
 
-# 127.0.0.1 is left to servers that several emulators share.
+# Nodes serve metrics at a fixed port, so each emulator has a network of its
+# own: two that shared addresses kept each other's nodes from starting.
+_NETWORKS = 250
 _FIRST_HOST = 2
 _HOSTS = 250
 # The node's internal ports are a range, so they come last.
@@ -72,4 +75,6 @@
     host = _FIRST_HOST + next(_next_host) % _HOSTS
     first = int(launcher.free_address().rpartition(":")[2])
     ports = {port: first + offset for port, offset in _PORT_OFFSETS.items()}
-    return Machine(name, zone, f"127.0.0.{host}", service, ports)
+    network = os.getpid()
+    ip = f"127.{1 + network % _NETWORKS}.{network // _NETWORKS % 256}.{host}"
+    return Machine(name, zone, ip, service, ports)
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real nodes, and the promises they must keep."""
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/callers.py
@@ -0,0 +1,94 @@
+"""Callers that go on using their connections until these are gone."""
+
+import dataclasses
+import random
+
+import trio
+
+from sassafras_base import errors
+from sassafras_policy.calls import messages
+from sassafras_standins.soak import fleet as fleets
+from sassafras_standins.soak import ledger as ledgers
+from sassafras_wire.http import client
+
+_PATIENCE_S = 3.0
+_PAUSE_S = (0.0, 0.2)
+_KEPT_SHARE = 0.9
+_BODY_LIMIT = 1024 * 1024
+_KINDS = (("GET", "/read/", False), ("POST", "/write/", True))
+
+
+async def run(
+    fleet: fleets.Fleet, place: fleets.Place, name: str, rng: random.Random
+) -> None:
+    """Sends requests from one machine until cancelled."""
+    connection: client.ClientConnection | None = None
+    number = 0
+    try:
+        while True:
+            number += 1
+            sent, request = _make(place, f"{name}-{number}", rng)
+            try:
+                if connection is None:
+                    connection = await client.ClientConnection.connect(
+                        place.machine.address("Outbound"),
+                        "soak.ask",
+                        _BODY_LIMIT,
+                        1.0,
+                    )
+                with trio.fail_after(_PATIENCE_S):
+                    response = await connection.exchange(request)
+                fleet.ledger.sent.append(_ended(sent, response))
+                keeps = rng.random() < _KEPT_SHARE and connection.is_reusable
+            except (errors.SassafrasError, trio.TooSlowError):
+                # The node is down, or was killed with the request.
+                fleet.ledger.sent.append(sent)
+                keeps = False
+            if connection is not None and not keeps:
+                await connection.close()
+                connection = None
+            await trio.sleep(rng.uniform(*_PAUSE_S))
+    finally:
+        if connection is not None:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+
+
+def _make(
+    place: fleets.Place, request_id: str, rng: random.Random
+) -> tuple[ledgers.Sent, messages.Request]:
+    organisation = rng.choice(sorted(fleets.KEYS))
+    key = rng.choice(fleets.KEYS[organisation])
+    method, path, is_unsafe = rng.choice(_KINDS)
+    # An endpoint answers a request without a body with a text of its own.
+    body = f"{request_id}:{rng.random()}".encode()
+    sent = ledgers.Sent(
+        request_id=request_id,
+        service=place.machine.service,
+        organisation=organisation,
+        key=key,
+        is_unsafe=is_unsafe,
+        body=body,
+        sent_at=trio.current_time(),
+    )
+    headers = (
+        ("host", fleets.HOST),
+        ("request-id", request_id),
+        ("deadline-ms", str(int(_PATIENCE_S * 1000))),
+        ("authorization", f"Bearer {key}"),
+        ("tenant", "forged"),
+        ("caller-service", "forged"),
+    )
+    request = messages.Request(method, path + request_id, headers, body)
+    return sent, request
+
+
+def _ended(sent: ledgers.Sent, response: client.Response) -> ledgers.Sent:
+    fields = dict(response.headers)
+    return dataclasses.replace(
+        sent,
+        status=response.status,
+        answered_id=fields.get("request-id", ""),
+        answer=response.body,
+        is_signed="response-signature" in fields,
+    )
--- /dev/null
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/fleet.py
@@ -0,0 +1,153 @@
+"""The nodes, stand-ins and proxies of one run."""
+
+import dataclasses
+import pathlib
+
+import trio
+
+from sassafras_standins.fleet import launcher
+from sassafras_standins.platform import documents
+from sassafras_standins.platform import endpoint
+from sassafras_standins.platform import machines
+from sassafras_standins.platform import processes
+from sassafras_standins.platform import store as store_standin
+from sassafras_standins.soak import ledger as ledgers
+from sassafras_standins.soak import proxy
+
+HOST = "soak.example"
+# The second key of each organisation may be taken away.
+KEYS = {"acme": ("key-of-acme", "old-key-of-acme"), "zeta": ("key-of-zeta",)}
+_ROUTES = (
+    documents.RouteRow("read", HOST, "/read/", "front"),
+    documents.RouteRow("write", HOST, "/write/", "back", route_type="unsafe"),
+    documents.RouteRow("inner", HOST, "/inner/", "back", is_public=True),
+)
+_SERVICES = ("front", "back")
+_ZONES = 2
+_WORK_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Place:
+    """One machine with its node, its endpoint and its way to the store."""
+
+    machine: machines.Machine
+    node: processes.NodeProcess
+    server: endpoint.Endpoint
+    store_link: proxy.Proxy
+    server_scope: trio.CancelScope
+
+
+class Fleet:
+    """What faults act on.
+
+    Attributes:
+      store: The store stand-in.
+      places: The machines.
+      ledger: What callers and endpoints have seen.
+      busy: Machines whose node is being stopped or started.
+    """
+
+    def __init__(
+        self, nursery: trio.Nursery, folder: pathlib.Path, settings: str
+    ) -> None:
+        """Prepares a fleet.
+
+        Args:
+          nursery: Runs the stand-ins.
+          folder: For settings files and logs.
+          settings: Path of the INI file with the policies.
+        """
+        self.store = store_standin.MetadataStore()
+        self.places: list[Place] = []
+        self.ledger = ledgers.Ledger()
+        self.busy: set[str] = set()
+        self._nursery = nursery
+        self._folder = folder
+        self._settings = settings
+        self._version = 0
+        self._keys = {name: list(keys) for name, keys in KEYS.items()}
+
+    async def start(self, count: int) -> None:
+        """Starts the store, and the machines all at once."""
+        address = launcher.free_address()
+        await self._nursery.start(self.store.run, address)
+        self.configure()
+        for number in range(count):
+            await self._add(number, address)
+        for place in self.places:
+            await place.node.until_ready()
+
+    def configure(self) -> None:
+        """Writes the next version of the configuration."""
+        self._version += 1
+        tenants = tuple(
+            documents.TenantRow(name, tuple(keys))
+            for name, keys in self._keys.items()
+        )
+        self.store.put(
+            "op/config",
+            documents.configuration(self._version, _ROUTES, tenants),
+        )
+
+    def revoke(self, organisation: str) -> None:
+        """Takes the second key of an organisation away, if it is there."""
+        keys = self._keys[organisation]
+        if len(keys) > 1:
+            key = keys.pop()
+            self.configure()
+            self.ledger.revoked[key] = trio.current_time()
+
+    async def replace_server(self, place: Place, drain_s: float) -> None:
+        """Lets an endpoint leave and another one come in its place."""
+        server = place.server
+        server.state = "draining"
+        if await server.beat() == 200:
+            self.ledger.left.append((server, trio.current_time()))
+        await trio.sleep(drain_s)
+        place.server_scope.cancel()
+        place.server = _make_server(place.machine)
+        place.server_scope = trio.CancelScope()
+        await self._start_server(place)
+
+    async def stop(self) -> None:
+        """Stops all nodes."""
+        async with trio.open_nursery() as nursery:
+            for place in self.places:
+                nursery.start_soon(place.node.stop)
+
+    async def _add(self, number: int, store_address: str) -> None:
+        machine = machines.make_machine(
+            f"machine-{number}",
+            f"zone-{number // len(_SERVICES) % _ZONES}",
+            _SERVICES[number % len(_SERVICES)],
+        )
+        link = proxy.Proxy(store_address)
+        await self._nursery.start(link.run)
+        node = processes.NodeProcess(
+            machine, self._folder, link.address, self._settings
+        )
+        node.start()
+        place = Place(
+            machine, node, _make_server(machine), link, trio.CancelScope()
+        )
+        self.places.append(place)
+        await self._start_server(place)
+
+    async def _start_server(self, place: Place) -> None:
+        self.ledger.endpoints.append(place.server)
+        await self._nursery.start(_run_server, place.server, place.server_scope)
+
+
+def _make_server(machine: machines.Machine) -> endpoint.Endpoint:
+    return endpoint.Endpoint(machine.endpoint_settings(work_s=_WORK_S))
+
+
+async def _run_server(
+    server: endpoint.Endpoint,
+    scope: trio.CancelScope,
+    *,
+    task_status: trio.TaskStatus[None],
+) -> None:
+    with scope:
+        await server.run(task_status=task_status)
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -73,7 +73,7 @@
         await fleet.add_machine("two", service="back")
         await fleet.until_settled()
         answer = await fleet.ask("one", request_id="r1")
-        seen = fleet.endpoints["two"].seen["r1-0"]
+        seen = fleet.endpoints["two"].seen["r1.0"]
     assert answer.status == 200
     assert "tenant" not in seen
 
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,84 @@
+"""What the soak takes for a broken promise."""
+
+import dataclasses
+
+import pytest
+
+from sassafras_standins.platform import endpoint
+from sassafras_standins.soak import ledger as ledgers
+
+SENT = ledgers.Sent(
+    request_id="r1",
+    service="front",
+    organisation="acme",
+    key="key-of-acme",
+    is_unsafe=True,
+    body=b"mine",
+    sent_at=10.0,
+    status=200,
+    answered_id="r1",
+    answer=b"mine",
+    is_signed=True,
+)
+SEEN = {"tenant": "acme", "caller-service": "front"}
+
+
+def _ledger(sent=SENT, runs=1, seen=SEEN, revoked=None):
+    server = endpoint.Endpoint(
+        endpoint.EndpointSettings(
+            address="127.0.0.1:1",
+            service="front",
+            zone="zone-a",
+            control_address="127.0.0.1:2",
+            outbound_address="127.0.0.1:3",
+        )
+    )
+    if runs:
+        server.runs["r1"] = runs
+        server.seen["r1"] = dict(seen)
+    return ledgers.Ledger(
+        sent=[sent], endpoints=[server], revoked=revoked or {}
+    )
+
+
+def test_a_request_that_was_served_once_breaks_nothing():
+    """Guards against a soak that reports what is allowed."""
+    assert _ledger().broken() == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "runs", "seen", "told"),
+    [
+        ({}, 2, SEEN, "ran 2 times"),
+        ({"status": 503, "is_signed": False}, 1, SEEN, "was answered 503"),
+        ({"status": 429, "is_signed": False}, 1, SEEN, "was answered 429"),
+        ({"answer": b"of another"}, 1, SEEN, "not its own"),
+        ({"answered_id": "r2"}, 1, SEEN, "not its own"),
+        ({"is_signed": False}, 1, SEEN, "not its own"),
+        ({}, 1, SEEN | {"tenant": "zeta"}, "tenant 'zeta'"),
+        ({}, 1, SEEN | {"caller-service": "x"}, "caller-service 'x'"),
+        ({}, 1, SEEN | {"authorization": "Bearer k"}, "brought its key"),
+    ],
+)
+def test_each_broken_promise_is_found(changes, runs, seen, told):
+    """Guards against a soak that passes over a fault."""
+    sent = dataclasses.replace(SENT, **changes)
+    (line,) = _ledger(sent, runs, seen).broken()
+    assert told in line
+
+
+@pytest.mark.parametrize(("revoked_at", "broken"), [(4.9, True), (5.1, False)])
+def test_a_withdrawn_key_may_work_for_its_bound_only(revoked_at, broken):
+    """Guards against keys that work at nodes without the store."""
+    ledger = _ledger(revoked={"key-of-acme": revoked_at})
+    assert bool(ledger.broken()) is broken
+
+
+@pytest.mark.parametrize(("ran_at", "broken"), [(12.1, True), (11.9, False)])
+def test_a_leaving_endpoint_gets_no_late_request(ran_at, broken):
+    """Guards against requests that reach an endpoint about to end."""
+    ledger = _ledger()
+    server = ledger.endpoints[0]
+    server.last_run_at = ran_at
+    ledger.left.append((server, 10.0))
+    assert bool(ledger.broken()) is broken
