Explain a request from the logs of all nodes

Cause: from an id to its cause took several searches over the logs of several hosts (docs/OPERATIONS.md).

Change: sassafras explain joins the lines of a request and of the calls made for it, says the cause by the reason of its end, and shows what the same nodes had lost about that time.

--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/explain.py
@@ -0,0 +1,143 @@
+"""The command that goes from the id of a request to its cause."""
+
+import pathlib
+
+import result
+
+from sassafras_cli import client as clients
+from sassafras_cli import exit_codes
+from sassafras_cli import registry
+from sassafras_cli.commands import requests
+from sassafras_cli.logs import causes
+from sassafras_cli.logs import lines
+from sassafras_wire.administration import models
+
+_REQUEST_ENDED = 820
+# Lost and regained dependencies, starts and stops of nodes.
+_DEPENDENCIES = frozenset([801, 802, 803, 832, 833, 842, 843])
+# A dependency that was lost this long before may still be the cause.
+_BEFORE_S = 10.0
+_AFTER_S = 1.0
+
+
+class Step(models.Answer):
+    """One line of the log that has to do with the request."""
+
+    at_ms: int
+    node: str
+    event: int
+    name: str
+    fields: dict[str, str]
+
+
+class Explanation(models.Answer):
+    """What became of a request.
+
+    `at_ms` of steps counts from the first line that bears its id; hosts whose
+    clocks differ shift their lines against each other.
+    """
+
+    request_id: str
+    cause: str
+    steps: list[Step]
+    around: list[Step]
+
+
+@registry.command(
+    "explain",
+    "REQUEST_ID LOGS",
+    example="sassafras explain 9c41d07be2a35f68 /var/log/sassafras",
+    uses_node=False,
+)
+async def explain(invocation: registry.Invocation) -> exit_codes.ExitCode:
+    """Shows what became of a request, from log files; needs no node."""
+    request_id, path = invocation.arguments
+    made = _explanation(request_id, pathlib.Path(path))
+    if isinstance(made, result.Err):
+        return invocation.fail(made.err_value)
+    answer = made.ok_value
+    text = [f"request {answer.request_id}: {answer.cause}", ""]
+    text += [_text(step) for step in answer.steps]
+    if answer.around:
+        text += ["", "on the same nodes about that time:"]
+        text += [_text(step) for step in answer.around]
+    return invocation.show(answer, "\n".join(text))
+
+
+def _explanation(
+    request_id: str, path: pathlib.Path
+) -> result.Result[Explanation, clients.Failure]:
+    try:
+        found = [
+            line for file in lines.files_of(path) for line in lines.read(file)
+        ]
+    except OSError as error:
+        return result.Err(requests.usage(f"{path} cannot be read: {error}"))
+    # Calls that targets made for the request have ids that begin with its id.
+    own = sorted(
+        (
+            line
+            for line in found
+            if line.text("request_id").startswith(request_id)
+        ),
+        key=lambda line: line.time,
+    )
+    ended = next(
+        (
+            line
+            for line in own
+            if line.event == _REQUEST_ENDED
+            and line.text("request_id") == request_id
+        ),
+        None,
+    )
+    if ended is None:
+        return result.Err(
+            requests.usage(
+                f"no line of {path} tells how request {request_id} ended; lines"
+                " may have been left out under load, and the node of another"
+                " host may have it"
+            )
+        )
+    others = [line for line in own if line.text("request_id") == request_id]
+    first = own[0].time
+    nodes = {line.node for line in own} | set(ended.text("nodes").split(","))
+    around = [
+        line
+        for line in found
+        if line.event in _DEPENDENCIES
+        and (line.node in nodes or line.text("node_id") in nodes)
+        and first - _BEFORE_S <= line.time <= own[-1].time + _AFTER_S
+    ]
+    return result.Ok(
+        Explanation(
+            request_id=request_id,
+            cause=causes.explain(ended, others),
+            steps=[_step(line, first) for line in own],
+            around=[
+                _step(line, first)
+                for line in sorted(around, key=lambda line: line.time)
+            ],
+        )
+    )
+
+
+def _step(line: lines.Line, first: float) -> Step:
+    return Step(
+        at_ms=round((line.time - first) * 1000),
+        node=line.node,
+        event=line.event,
+        name=line.name,
+        fields={
+            name: str(value)
+            for name, value in line.fields.items()
+            if name != "level" and value not in ("", None)
+        },
+    )
+
+
+def _text(step: Step) -> str:
+    fields = " ".join(f"{name}={value}" for name, value in step.fields.items())
+    return (
+        f"{step.at_ms:>7} ms  {step.node}  {step.event} {step.name}  {fields}"
+    )
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines of nodes, and what they say of one request."""
--- /dev/null
+++ b/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
@@ -0,0 +1,123 @@
+"""What the reason of a request's end means, and where to look next."""
+
+from collections.abc import Callable
+
+from sassafras_base import registry
+from sassafras_cli.logs import lines
+
+Cause = Callable[[lines.Line, list[lines.Line]], str]
+
+causes: registry.Registry[Cause] = registry.Registry("cause")
+
+_RATE_REFUSED = 821
+_CALL_ENDED = 830
+
+
+def explain(ended: lines.Line, others: list[lines.Line]) -> str:
+    """Returns why a request ended as it did.
+
+    Args:
+      ended: The line of its end at its first node.
+      others: All other lines that bear its id.
+    """
+    reason = ended.text("reason") or ended.text("outcome")
+    if reason not in causes:
+        return f"ended with {reason!r}; docs/OPERATIONS.md tells of it"
+    return causes.get(reason)(ended, others)
+
+
+def _line(others: list[lines.Line], event: int) -> lines.Line | None:
+    return next((line for line in others if line.event == event), None)
+
+
+@causes.register("organisation-limit")
+def _over_rate(ended: lines.Line, others: list[lines.Line]) -> str:
+    refused = _line(others, _RATE_REFUSED)
+    if refused is None:
+        return "the rate of its organisation was used up; no line says more"
+    rate = float(refused.fields.get("rate_per_s", 0.0))
+    demand = float(refused.fields.get("fleet_demand_per_s", 0.0))
+    organisation = refused.text("organisation")
+    if demand > rate:
+        return (
+            f"{organisation} sent {demand:g} requests a second to the fleet and"
+            f" pays for {rate:g}"
+        )
+    return (
+        f"{organisation} sent {demand:g} of the {rate:g} requests a second that"
+        " it pays for; the node that keeps its tokens may not have been"
+        " reached (events 832)"
+    )
+
+
+@causes.register("overload")
+def _overloaded(ended: lines.Line, others: list[lines.Line]) -> str:
+    refused = [line for line in others if line.event == _CALL_ENDED]
+    if not refused:
+        return (
+            f"service {ended.text('service')}, or one that it calls, had"
+            " refused others; the first node sent this one nowhere"
+        )
+    places = ", ".join(
+        f"{line.node} (load {line.text('load')}, rank {line.text('rank')},"
+        f" level {line.text('admission_level')})"
+        for line in refused
+    )
+    return f"no room at {places}"
+
+
+@causes.register("no-configuration")
+def _without_proof(ended: lines.Line, others: list[lines.Line]) -> str:
+    del others
+    return (
+        "the node had no proof that its configuration was the newest for"
+        f" {ended.text('confirmed_ms')} ms; see what it lost (events 842, 832)"
+    )
+
+
+@causes.register("no-target")
+def _without_target(ended: lines.Line, others: list[lines.Line]) -> str:
+    del others
+    return (
+        f"no target of service {ended.text('service')} was ready; its"
+        " announcements are events 810"
+    )
+
+
+@causes.register("deadline")
+def _too_late(ended: lines.Line, others: list[lines.Line]) -> str:
+    at = ended.text("nodes") or "no node"
+    refused = _line(others, _CALL_ENDED)
+    load = f", whose load was {refused.text('load')}" if refused else ""
+    return (
+        f"its time was over after {ended.text('elapsed_ms')} ms; it was sent"
+        f" to {at}{load}"
+    )
+
+
+@causes.register("connection-lost")
+def _connection_lost(ended: lines.Line, others: list[lines.Line]) -> str:
+    last = ended.text("nodes").rpartition(",")[2]
+    if _line(others, _CALL_ENDED):
+        return f"the target beside {last} broke the connection off"
+    return f"the connection to {last} was lost, which may have gone away"
+
+
+@causes.register("target-protocol")
+def _foreign_answer(ended: lines.Line, others: list[lines.Line]) -> str:
+    del others
+    last = ended.text("nodes").rpartition(",")[2]
+    return f"the target beside {last} sent what is no whole answer of its own"
+
+
+@causes.register("ran")
+def _ran(ended: lines.Line, others: list[lines.Line]) -> str:
+    del others
+    last = ended.text("nodes").rpartition(",")[2]
+    status = ended.text("status")
+    if status.startswith("2"):
+        return f"served by the target beside {last}"
+    return (
+        f"the target beside {last} answered {status} itself; look at the calls"
+        " that it made for this request"
+    )
--- a/packages/sassafras-cli/src/sassafras_cli/main.py
+++ b/packages/sassafras-cli/src/sassafras_cli/main.py
@@ -14,6 +14,7 @@
 from sassafras_cli import options
 from sassafras_cli import registry
 from sassafras_cli.commands import configuration
+from sassafras_cli.commands import explain
 from sassafras_cli.commands import keys
 from sassafras_cli.commands import nodes
 from sassafras_cli.commands import report
@@ -21,7 +22,15 @@
 from sassafras_cli.commands import targets
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (configuration, keys, nodes, report, status, targets)
+COMMAND_MODULES = (
+    configuration,
+    explain,
+    keys,
+    nodes,
+    report,
+    status,
+    targets,
+)
 
 _HELP = "help"
 
--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -24,6 +24,7 @@
     "apply",
     "audit",
     "check",
+    "explain",
     "history",
     "keys-grant",
     "keys-list",
