--- a/packages/sassafras-node/src/sassafras_node/admin/routes/reports.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/reports.py
@@ -4,6 +4,7 @@
 
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
+from sassafras_node.reports import exposition
 from sassafras_node.reports import fleet
 from sassafras_node.reports import metrics
 from sassafras_node.reports import renderers
@@ -36,7 +37,7 @@
     """Answers with this node's metrics for a scraper."""
     return result.Ok(
         models.Page(
-            content_type=metrics.CONTENT_TYPE,
+            content_type=exposition.CONTENT_TYPE,
             content=metrics.render(call.runtime),
         )
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -3,8 +3,8 @@
 import trio
 
 from sassafras_node import http_session
-from sassafras_node.mesh import measurements
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.reports import exposition
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 
@@ -37,20 +37,39 @@
 
 def _metrics(runtime: runtimes.Runtime) -> messages.Answer:
     age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
+    gate = runtime.target.gate
     text = runtime.measurements.render(
         {
-            "configuration_version": runtime.version,
-            "configuration_age_s": age_s,
-            "peers": len(runtime.fleet),
-            "in_flight": runtime.drain.in_flight,
-            "target_serving": int(runtime.target.is_serving),
-            "target_load": runtime.target.gate.load,
-            "target_limit": runtime.target.gate.limit,
-            "admission_level": runtime.target.gate.level,
+            "configuration_version": (
+                "Configuration version in force.",
+                runtime.version,
+            ),
+            "configuration_age_s": (
+                "Age of the proof that it is the newest.",
+                age_s,
+            ),
+            "peers": ("Other nodes known.", len(runtime.fleet)),
+            "in_flight": ("Requests being served.", runtime.drain.in_flight),
+            "target_serving": (
+                "1 while the target beside the node takes calls.",
+                int(runtime.target.is_serving),
+            ),
+            "target_load": (
+                "Calls at the target as a part of its limit.",
+                gate.load,
+            ),
+            "target_limit": (
+                "Calls that the target may run at once.",
+                gate.limit,
+            ),
+            "admission_level": (
+                "Calls of this rank and above are refused.",
+                gate.level,
+            ),
         }
     )
     return messages.Answer(
         outcome=outcomes.Outcome.RAN,
-        headers=(("content-type", measurements.CONTENT_TYPE),),
+        headers=(("content-type", exposition.CONTENT_TYPE),),
         body=text.encode(),
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -1,15 +1,18 @@
-"""Counters and latency histograms of one node, as Prometheus text."""
+"""Counters and latency histograms of one mesh node."""
 
 import collections
 
 from hdrh import histogram
 
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+from sassafras_node.reports import exposition
 
 _LOWEST_MS = 1
 _HIGHEST_MS = 60_000
 _DIGITS = 2
-_QUANTILES = (50.0, 90.0, 99.0)
+_COUNTERS = {
+    "requests": "Requests of callers and of the target beside, by their end.",
+    "calls": "Calls of other nodes, by their end.",
+}
 # Routes come from the configuration; this bounds what a configuration of many
 # routes costs in memory.
 _MOST_SERIES = 64
@@ -25,7 +28,7 @@
         self._latencies: dict[str, histogram.HdrHistogram] = {}
 
     def count(self, name: str, label: str = "") -> None:
-        """Adds one to a counter."""
+        """Adds one to a counter, `requests` or `calls`."""
         self._counts[name, label] += 1
 
     def observe(self, service: str, latency_s: float) -> None:
@@ -38,27 +41,37 @@
             self._latencies[service] = series
         series.record_value(max(_LOWEST_MS, int(latency_s * 1000)))
 
-    def render(self, gauges: dict[str, float]) -> str:
-        """Returns all series as text.
+    def render(self, gauges: dict[str, tuple[str, float]]) -> str:
+        """Returns all series in the Prometheus text format.
 
         Args:
-          gauges: Values of this moment by name.
+          gauges: Meanings and values of this moment by name.
         """
-        lines = [
-            f"sassafras_{name} {value:g}" for name, value in gauges.items()
+        families = [
+            exposition.gauge(name, meaning, value)
+            for name, (meaning, value) in gauges.items()
         ]
-        for (name, label), value in sorted(self._counts.items()):
-            tail = f'{{kind="{label}"}}' if label else ""
-            lines.append(f"sassafras_{name}_total{tail} {value}")
-        for service, series in sorted(self._latencies.items()):
-            for quantile in _QUANTILES:
-                value = series.get_value_at_percentile(quantile)
-                lines.append(
-                    f'sassafras_latency_ms{{service="{service}",'
-                    f'quantile="{quantile / 100:g}"}} {value}'
+        for name, meaning in _COUNTERS.items():
+            counts = sorted(
+                (label, count)
+                for (counter, label), count in self._counts.items()
+                if counter == name
+            )
+            families.append(
+                exposition.counter(
+                    name,
+                    meaning,
+                    [({"kind": label}, count) for label, count in counts],
                 )
-            lines.append(
-                f'sassafras_latency_ms_count{{service="{service}"}}'
-                f" {series.get_total_count()}"
             )
-        return "\n".join(lines) + "\n"
+        families.append(
+            exposition.latencies(
+                "latency_ms",
+                "Latency of requests that ran, in milliseconds.",
+                [
+                    ({"service": service}, series)
+                    for service, series in sorted(self._latencies.items())
+                ],
+            )
+        )
+        return exposition.render(families)
