Revert the runs of the admission level; keep its set points of 10 to 20 ms

The level that tightens in runs and waits a second for the effect of each is slow to follow the small targets of that measure.

--- a/packages/sassafras-policy/src/sassafras_policy/admission/levels.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/levels.py
@@ -15,28 +15,20 @@
 _LONGEST_WINDOW_S = 0.5
 _WINDOW_CALLS = 10
 # Between the two set points the level stays; one alone made it swing by a
-# whole answer's delay in both directions.
+# whole answer's delay in both directions. A request waits at each of its calls,
+# and a chain of five at 70 ms each left no time for the last one.
 _WAIT_HIGH_S = 0.02
 _WAIT_LOW_S = 0.01
-# Part of the admitted calls that one window sheds.
-_SHED_SHARE = 0.12
-# Requests that were admitted before a change go on making calls for about this
-# long, and hide its effect. So one run of changes keeps at least this part of
-# the calls, and another one waits for the effect of the first; without that
-# wait the level fell to less than half of what the target could serve.
-_KEPT_SHARE = 0.6
-_EFFECT_DELAY_S = 1.0
-# A wait that has become shorter by this part shows that the run was enough.
-_SHORTER_SHARE = 0.05
-# For this long after calls had to be shed, the level passes the place where it
-# was then in the smallest steps only.
-_CEILING_SPAN_S = 4.0
-_CEILING_SHARE = 0.9
+# The effect of a change is seen only after the calls on their way have ended,
+# so each window corrects a part of the excess.
+_SHED_PER_DROP = 0.2
+_SMALLEST_SHED = 0.02
+_LARGEST_SHED = 0.25
 _HISTORY_KEPT = 0.9
 # First step of an opening level, as a part of the buckets that it admits of
 # its class. Under 17-fold load, as with eager retries, seven buckets are the
 # whole capacity, and steps of one bucket made the level swing.
-_FIRST_STEP_SHARE = 0.01
+_FIRST_STEP_SHARE = 0.02
 _SMALLEST_STEP = 0.1
 _LARGEST_FIRST_STEP = 1.0
 _LARGEST_STEP = 64.0
@@ -79,15 +71,10 @@
         self._open = float(open_level(class_count))
         self._level = self._open
         self._arrivals = [0.0] * int(self._open)
-        self._last_wait_s = 0.0
-        # Part of the calls that the running run of changes has kept.
-        self._kept = 1.0
-        self._hold_until = 0.0
-        self._ceiling = self._open
-        self._ceiling_until = 0.0
         self._window_from = 0.0
         self._step = 0.0
         self._calls = 0
+        self._drops = 0
         self._wait_sum_s = 0.0
         self._was_full = False
 
@@ -113,6 +100,7 @@
 
     def dropped(self, wait_s: float) -> None:
         """Counts a call that got no place; it counts as a long wait."""
+        self._drops += 1
         self.waited(wait_s)
 
     def found_full(self) -> None:
@@ -129,31 +117,23 @@
 
     def _close_window(self, now: float, span_s: float) -> None:
         mean_wait_s = self._wait_sum_s / self._calls if self._calls else 0.0
-        is_shorter = mean_wait_s < self._last_wait_s * (1.0 - _SHORTER_SHARE)
-        self._last_wait_s = mean_wait_s
-        if self._kept < 1.0 and (is_shorter or self._kept < _KEPT_SHARE):
-            self._kept = 1.0
-            self._hold_until = now - span_s + _EFFECT_DELAY_S
-        if now < self._hold_until:
-            pass
-        elif mean_wait_s > _WAIT_HIGH_S:
-            self._tighten(now)
+        if mean_wait_s > _WAIT_HIGH_S:
+            share = self._drops / self._calls * _SHED_PER_DROP
+            self._tighten(min(_LARGEST_SHED, max(_SMALLEST_SHED, share)))
         elif mean_wait_s < _WAIT_LOW_S:
-            self._loosen(span_s, now)
+            self._loosen(span_s)
         self._arrivals = [count * _HISTORY_KEPT for count in self._arrivals]
         self._window_from = now
         self._calls = 0
+        self._drops = 0
         self._wait_sum_s = 0.0
         self._was_full = False
 
-    def _tighten(self, now: float) -> None:
-        """Refuses the least important of the calls admitted so far."""
+    def _tighten(self, share: float) -> None:
+        """Refuses the least important `share` of the calls admitted so far."""
         self._step = 0.0
-        if self._kept == 1.0:
-            self._ceiling = self._level
-        self._ceiling_until = now + _CEILING_SPAN_S
-        self._kept *= 1.0 - _SHED_SHARE
-        to_shed = sum(self._arrivals[: math.ceil(self._level)]) * _SHED_SHARE
+        admitted = sum(self._arrivals[: math.ceil(self._level)])
+        to_shed = admitted * share
         while to_shed > 0.0 and self._level > _LOWEST_LEVEL:
             bucket = math.ceil(self._level) - 1
             part = self._level - bucket
@@ -168,7 +148,7 @@
         step = _admitted_buckets(self._level) * _FIRST_STEP_SHARE
         return min(_LARGEST_FIRST_STEP, max(_SMALLEST_STEP, step))
 
-    def _loosen(self, span_s: float, now: float) -> None:
+    def _loosen(self, span_s: float) -> None:
         if self._was_full or not self._step:
             self._step = self._first_step()
         if self._was_full:
@@ -179,13 +159,7 @@
         for _ in range(int(span_s / _WINDOW_S)):
             if self.is_open:
                 return
-            raised = self._level + self._step
-            if now < self._ceiling_until and (
-                raised > self._ceiling * _CEILING_SHARE
-            ):
-                self._step = self._first_step()
-                raised = self._level + self._step
-            self._level = min(self._open, raised)
+            self._level = min(self._open, self._level + self._step)
             self._step = min(_LARGEST_STEP, self._step * 2)
 
 
