--- a/packages/sassafras-wire/src/sassafras_wire/http/hangups.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/hangups.py
@@ -15,7 +15,7 @@
     """Cancels the work for callers that have closed their connections.
 
     One system call looks at all connections. A task for each connection that
-    reads while a request is served took a tenth of a node's processor time.
+    reads while a request is served would be woken by every read.
     """
 
     def __init__(self) -> None:
