Start and end emulated nodes with what the launcher has

Cause: the emulator's node process waited for readiness and for its end with loops of its own, and two faults of the soak were the same but for one call.

Change: both call the launcher, whose wait for a server now asks for status 200 as the loop that is gone did. Behaviour is otherwise as it was.

--- a/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
+++ b/packages/sassafras-standins/src/sassafras_standins/fleet/launcher.py
@@ -197,20 +197,20 @@
         """Ends a process with SIGTERM and returns its exit code."""
         process = self._processes.pop(name)
         process.send_signal(signal.SIGTERM)
-        return await _wait_exit(process, timeout_s)
+        return await wait_exit(process, timeout_s)
 
     async def kill(self, name: str) -> None:
         """Ends a process with SIGKILL."""
         process = self._processes.pop(name)
         process.kill()
-        await _wait_exit(process, _STOP_TIMEOUT_S)
+        await wait_exit(process, _STOP_TIMEOUT_S)
 
     async def close(self) -> None:
         """Ends all processes and deletes the folder."""
         for process in self._processes.values():
             process.kill()
         for process in self._processes.values():
-            await _wait_exit(process, _STOP_TIMEOUT_S)
+            await wait_exit(process, _STOP_TIMEOUT_S)
         self._processes.clear()
         self._temporary.cleanup()
 
@@ -295,7 +295,7 @@
 async def wait_until_serving(
     address: str, request: messages.Request, timeout_s: float = 20.0
 ) -> None:
-    """Waits until a request at an address is answered with success."""
+    """Waits until a request at an address is answered with 200."""
     with trio.fail_after(timeout_s):
         while True:
             try:
@@ -306,9 +306,10 @@
                     response = await connection.exchange(request)
                 finally:
                     await connection.close()
-                if response.status < 300:
+                if response.status == 200:
                     return
             except errors.SassafrasError:
+                # It is still starting.
                 pass
             await trio.sleep(_POLL_S)
 
@@ -326,7 +327,8 @@
                 return
 
 
-async def _wait_exit(process: subprocess.Popen[bytes], timeout_s: float) -> int:
+async def wait_exit(process: subprocess.Popen[bytes], timeout_s: float) -> int:
+    """Waits for the end of a process, kills it if late; returns its code."""
     with trio.move_on_after(timeout_s):
         while process.poll() is None:
             await trio.sleep(_POLL_S)
--- a/packages/sassafras-standins/src/sassafras_standins/platform/processes.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/processes.py
@@ -6,19 +6,13 @@
 import subprocess
 import sys
 
-import trio
-
-from sassafras_base import errors
 from sassafras_policy.calls import messages
+from sassafras_standins.fleet import launcher
 from sassafras_standins.platform import machines
-from sassafras_wire.http import client
 
 # The platform kills a process this long after it asked it to stop.
 _GRACE_S = 6.0
-_POLL_S = 0.05
-_READY_TIMEOUT_S = 20.0
 _READY = messages.Request("GET", "/sassafrasmount/ready", (), b"")
-_BODY_LIMIT = 4096
 
 
 class NodeProcess:
@@ -85,16 +79,11 @@
         """Asks it to stop, and kills it after the platform's grace time."""
         # A paused process would not see the request.
         self.send(signal.SIGCONT)
-        self.send(signal.SIGTERM)
-        with trio.move_on_after(_GRACE_S):
-            await self._wait()
-        await self.kill()
+        await self._end(signal.SIGTERM)
 
     async def kill(self) -> None:
         """Kills it."""
-        self.send(signal.SIGKILL)
-        await self._wait()
-        self._process = None
+        await self._end(signal.SIGKILL)
 
     async def until_ready(self) -> None:
         """Waits until callers may send requests.
@@ -102,22 +91,10 @@
         Raises:
           TooSlowError: It was not ready in time.
         """
-        with trio.fail_after(_READY_TIMEOUT_S):
-            while not await self._is_ready():
-                await trio.sleep(_POLL_S)
-
-    async def _is_ready(self) -> bool:
-        try:
-            connection = await client.ClientConnection.connect(
-                self.machine.address("Ready"), "emulator.ready", _BODY_LIMIT, 1
-            )
-            response = await connection.exchange(_READY)
-            await connection.close()
-        except errors.SassafrasError:
-            # It is still starting.
-            return False
-        return response.status == 200
-
-    async def _wait(self) -> None:
-        while self._process is not None and self._process.poll() is None:
-            await trio.sleep(_POLL_S)
+        await launcher.wait_until_serving(self.machine.address("Ready"), _READY)
+
+    async def _end(self, number: signal.Signals) -> None:
+        self.send(number)
+        if self._process is not None:
+            await launcher.wait_exit(self._process, _GRACE_S)
+            self._process = None
--- a/packages/sassafras-standins/src/sassafras_standins/soak/faults.py
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/faults.py
@@ -33,32 +33,36 @@
     return rng.uniform(_SHORTEST_S, _LONGEST_S)
 
 
-@faults.register("node-kill")
-async def kill_node(
-    fleet: fleets.Fleet, place: fleets.Place, rng: random.Random
+async def _restart(
+    fleet: fleets.Fleet,
+    place: fleets.Place,
+    rng: random.Random,
+    end: Callable[[], Awaitable[None]],
 ) -> None:
-    """Kills a node and starts it again."""
+    """Ends a node and starts it again, unless that is under way already."""
     if place.machine.name in fleet.busy:
         return
     fleet.busy.add(place.machine.name)
-    await place.node.kill()
+    await end()
     await trio.sleep(rng.uniform(*_RESTART_S))
     place.node.start()
     fleet.busy.discard(place.machine.name)
 
 
+@faults.register("node-kill")
+async def kill_node(
+    fleet: fleets.Fleet, place: fleets.Place, rng: random.Random
+) -> None:
+    """Kills a node and starts it again."""
+    await _restart(fleet, place, rng, place.node.kill)
+
+
 @faults.register("node-stop")
 async def stop_node(
     fleet: fleets.Fleet, place: fleets.Place, rng: random.Random
 ) -> None:
     """Asks a node to stop, and starts it again."""
-    if place.machine.name in fleet.busy:
-        return
-    fleet.busy.add(place.machine.name)
-    await place.node.stop()
-    await trio.sleep(rng.uniform(*_RESTART_S))
-    place.node.start()
-    fleet.busy.discard(place.machine.name)
+    await _restart(fleet, place, rng, place.node.stop)
 
 
 @faults.register("node-pause")
