Share the exit codes of the two programs that run a node

Cause: both entry points turned the same errors into the same exit codes.

Change: one function does. Behaviour is as it was.

--- a/packages/sassafras-node/src/sassafras_node/main.py
+++ b/packages/sassafras-node/src/sassafras_node/main.py
@@ -10,11 +10,10 @@
 import trio
 
 from sassafras_base import clock as clocks
-from sassafras_base import errors
 from sassafras_base import events
-from sassafras_base import supervision
 from sassafras_node import collector
 from sassafras_node import help_text
+from sassafras_node import programs
 from sassafras_node import runtime as runtimes
 from sassafras_node import supervisor
 from sassafras_wire.settings import loader
@@ -24,9 +23,6 @@
     "settings", None, "Path of the node's INI settings file.", required=True
 )
 
-_EXIT_USAGE = 2
-_EXIT_FAILED = 1
-
 
 def run() -> None:
     """Runs the binary."""
@@ -36,22 +32,15 @@
 
 
 def _main(argv: list[str]) -> int:
-    if len(argv) > 1:
-        print(f"unexpected arguments: {argv[1:]}", file=sys.stderr)
-        return _EXIT_USAGE
-    try:
-        settings = loader.load(
-            pathlib.Path(_SETTINGS.value), node_settings.NodeSettings
-        )
-        events.configure(settings.log.level)
-        trio.run(_serve, settings)
-    except errors.InvalidInputError as error:
-        print(error, file=sys.stderr)
-        return _EXIT_USAGE
-    except (supervision.GaveUpError, OSError) as error:
-        print(error, file=sys.stderr)
-        return _EXIT_FAILED
-    return 0
+    return programs.run(argv, _load_and_serve)
+
+
+def _load_and_serve() -> None:
+    settings = loader.load(
+        pathlib.Path(_SETTINGS.value), node_settings.NodeSettings
+    )
+    events.configure(settings.log.level)
+    trio.run(_serve, settings)
 
 
 async def _serve(settings: node_settings.NodeSettings) -> None:
