Give a call what its dispatch needs; one look-up of header values

Cause: a call had the name of its route beside the route, which is missing at the second node; the answer at a deadline, the look-up of a header value, the look at an idle socket and the check of a heard level stood twice each.

Change: a call has the name of its route and the number of targets that it may go to; each of the others has one place. Behaviour is as it was.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/decisions.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/decisions.py
@@ -49,7 +49,7 @@
     age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
     request_ended(
         entry.request_id,
-        call.route.name if call and call.route else "",
+        call.route if call else "",
         call.service if call else "",
         call.organisation if call else "",
         str(answer.outcome),
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -54,15 +54,7 @@
     with trio.move_on_after(max(0.0, remaining_s + _VERDICT_GRACE_S)):
         answer = await _send_until_final(runtime, call, trail)
     if answer is None:
-        if trail.progress.may_have_run:
-            return messages.unknown(
-                outcomes.Reason.DEADLINE, 504, "the deadline passed"
-            )
-        return messages.refusal(
-            outcomes.Reason.DEADLINE,
-            503,
-            "the deadline passed before it was sent",
-        )
+        return local.deadline_passed(trail.progress)
     if (
         answer.outcome is outcomes.Outcome.NOT_RUN
         and trail.progress.may_have_run
@@ -107,7 +99,7 @@
             trail.progress.may_have_run = may_have_run
         for service, level in answer.levels:
             runtime.downstream.heard(
-                service, call.route_name, level, runtime.clock.now()
+                service, call.route, level, runtime.clock.now()
             )
         if not _may_send_again(runtime, call, trail, answer):
             return answer
@@ -133,8 +125,7 @@
     trail.sends += 1
     if answer.outcome is outcomes.Outcome.UNKNOWN and not call.is_idempotent:
         return False
-    most = call.route.most_targets if call.route else 1
-    if trail.sends >= most:
+    if trail.sends >= call.most_targets:
         return False
     return runtime.spending.take(call.service, now)
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -164,8 +164,8 @@
         service=service,
         context=context,
         is_idempotent=route.is_idempotent,
-        route_name=route.name,
-        route=route,
+        route=route.name,
+        most_targets=route.most_targets,
     )
 
 
@@ -185,9 +185,9 @@
     parent = runtime.in_service.get(entry.parent_id)
     if parent is None:
         for running in runtime.in_service.values():
-            runtime.downstream.learn(running.route_name, service, route.name)
+            runtime.downstream.learn(running.route, service, route.name)
         return context
-    runtime.downstream.learn(parent.route_name, service, route.name)
+    runtime.downstream.learn(parent.route, service, route.name)
     return dataclasses.replace(
         context,
         priority=parent.context.priority,
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -132,6 +132,11 @@
     # A busy node may read a call after its deadline has passed.
     with trio.move_on_after(max(0.0, remaining_s)):
         return await serve(runtime, call, target_id, progress)
+    return deadline_passed(progress)
+
+
+def deadline_passed(progress: progresses.Progress) -> messages.Answer:
+    """Returns the answer to a call that was ended at its deadline."""
     if progress.may_have_run:
         return messages.unknown(
             outcomes.Reason.DEADLINE, 504, "the deadline passed"
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -249,7 +249,7 @@
         """
         gate = self.target.gate
         return self.downstream.lowest(
-            call.route_name, gate.level, gate.open_level, self.clock.now()
+            call.route, gate.level, gate.open_level, self.clock.now()
         )
 
     def is_shed(self, call: calls.Call) -> bool:
@@ -261,7 +261,7 @@
             return False
         return self.downstream.refuses(
             call.service,
-            call.route_name,
+            call.route,
             call.context,
             self.target.gate.open_level,
             self.clock.now(),
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -12,6 +12,11 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+def first_value(headers: Headers, name: str) -> str | None:
+    """Returns the first value of a header, or None."""
+    return next((value for key, value in headers if key == name), None)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request as a caller or a target sent it.
@@ -40,10 +45,7 @@
 
     def header(self, name: str) -> str | None:
         """Returns the first value of a header, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return first_value(self.headers, name)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from sassafras_policy.calls import messages
-from sassafras_policy.mesh import configuration
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,8 +17,8 @@
       service: The service that is to run it.
       context: Rank and deadline.
       is_idempotent: Whether it may run more than once.
-      route_name: Name of the route; the second node knows no more of it.
-      route: The route; None at the second node, which does not need it.
+      route: Name of the route.
+      most_targets: Targets that it may be sent to; its first node decides.
     """
 
     request: messages.Request
@@ -29,8 +28,8 @@
     service: str
     context: messages.CallContext
     is_idempotent: bool
-    route_name: str = ""
-    route: configuration.Route | None = None
+    route: str = ""
+    most_targets: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
@@ -65,8 +65,8 @@
         now: float,
     ) -> bool:
         """Returns whether a request would be refused further on."""
-        level = self._heard.value(_key(service, route), opened, now)
-        return level < opened and levels.refuses(level, context)
+        key = frozenset([_key(service, route)])
+        return self._heard.refusing(key, context, opened, now) is not None
 
 
 def _key(service: str, route: str) -> str:
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -25,6 +25,10 @@
     headers: messages.Headers
     body: bytes
 
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header, or None."""
+        return messages.first_value(self.headers, name)
+
 
 ResponseCheck = Callable[["Response"], bool]
 
@@ -112,8 +116,7 @@
             return True
         if not isinstance(self._stream, trio.SocketStream):
             return False
-        socket = self._stream.socket
-        return socket.fileno() < 0 or socket.is_readable()
+        return sockets.has_input(self._stream)
 
     async def exchange(
         self,
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -1,4 +1,4 @@
-"""Socket options that bound how long a silent peer goes unnoticed."""
+"""What the socket under a connection tells, and how soon it fails."""
 
 import socket
 
@@ -12,6 +12,11 @@
 _PROBES = 2
 
 
+def has_input(stream: trio.SocketStream) -> bool:
+    """Returns whether bytes or the end of a connection wait to be read."""
+    return stream.socket.fileno() < 0 or stream.socket.is_readable()
+
+
 def detect_silence(stream: trio.SocketStream) -> None:
     """Makes a connection fail when its peer acknowledges nothing for 3 s."""
     for level, option, value in (
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -108,7 +108,7 @@
         caller_service=call.caller_service,
         organisation=call.organisation,
         service=call.service,
-        route=call.route_name,
+        route=call.route,
         target_id=target_id,
         remaining_ms=max(0, int(remaining_s * 1000)),
         priority=call.context.priority,
@@ -147,7 +147,7 @@
             at_most_once=not message.is_idempotent,
         ),
         is_idempotent=message.is_idempotent,
-        route_name=message.route,
+        route=message.route,
     )
     return ReceivedCall(call, message.target_id)
 
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
@@ -46,8 +46,7 @@
     @property
     def is_readable(self) -> bool:
         """Whether bytes or the end of the connection wait to be read."""
-        socket = self._stream.socket
-        return socket.fileno() < 0 or socket.is_readable()
+        return sockets.has_input(self._stream)
 
     async def send(
         self, message: models.Message, progress: progresses.Progress
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -195,10 +195,3 @@
         return condition()
 
     await waiting.until(check, what)
-
-
-def header(response: client.Response, name: str) -> str | None:
-    for key, value in response.headers:
-        if key == name:
-            return value
-    return None
--- a/tests/mesh/test_downstream_levels.py
+++ b/tests/mesh/test_downstream_levels.py
@@ -110,6 +110,6 @@
 class _Running:
     """A call that the target beside a node is running."""
 
-    def __init__(self, route_name, context):
-        self.route_name = route_name
+    def __init__(self, route, context):
+        self.route = route
         self.context = context
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -31,7 +31,7 @@
         )
         seen = fleet.endpoints["one"].seen["r1"]
     assert (answer.status, answer.body) == (200, b"whole body")
-    assert mesh_fleet.header(answer, "response-signature") is not None
+    assert answer.header("response-signature") is not None
     assert "authorization" not in seen
     assert seen["tenant"] == "acme"
     assert seen["caller-service"] == "front"
@@ -132,7 +132,7 @@
         assert not fleet.nodes["one"].is_ready
         answer = await fleet.ask("one")
         assert answer.status == 503
-        assert float(mesh_fleet.header(answer, "retry-after") or 0) > 0
+        assert float(answer.header("retry-after") or 0) > 0
 
 
 async def test_a_planned_stop_ends_requests_in_flight_and_tells_others(
