Try sockets before waiting for them

Cause: the streams of trio yield to the scheduler at each call, also where nothing blocks. A call between two nodes made 37 system calls and 10 waits for each request accepted.

Change: sockets.py has a stream and a listener that yield only where the socket would block, and accept several connections at once. The HTTP client sends and receives at once, so that a target may respond before it has read a long body.

--- a/packages/sassafras-node/src/sassafras_node/admin/session.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/session.py
@@ -6,7 +6,6 @@
 
 import pydantic
 import result
-import trio
 
 from sassafras_base import events
 from sassafras_node import http_session
@@ -17,6 +16,7 @@
 from sassafras_policy.calls import messages
 from sassafras_wire.administration import models
 from sassafras_wire.http import server as http_server
+from sassafras_wire.http import sockets
 from sassafras_wire.settings import operators
 
 
@@ -33,7 +33,7 @@
 async def serve(
     runtime: runtimes.Runtime,
     accounts: operators.Operators,
-    stream: trio.SocketStream,
+    stream: sockets.SocketStream,
     peer: str,
 ) -> None:
     """Serves requests until the operator disconnects."""
--- a/packages/sassafras-node/src/sassafras_node/callers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/callers/session.py
@@ -1,17 +1,16 @@
 """Serves connections from callers."""
 
-import trio
-
 from sassafras_node import http_session
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import entry
 from sassafras_node.reports import recorder
 from sassafras_policy.calls import messages
 from sassafras_wire.http import fields
+from sassafras_wire.http import sockets
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves requests until the caller disconnects."""
 
--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -11,6 +11,7 @@
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
+from sassafras_wire.http import sockets
 
 Handler = Callable[[messages.Request], Awaitable[messages.CallResponse]]
 _REASONS = {
@@ -63,7 +64,7 @@
 
 async def serve(
     runtime: SessionRuntime,
-    stream: trio.SocketStream,
+    stream: sockets.SocketStream,
     peer: str,
     handler: Handler,
     refusal_formatter: RefusalFormatter = refusal_as_text,
@@ -89,7 +90,7 @@
 
 async def _serve_next(
     runtime: SessionRuntime,
-    stream: trio.SocketStream,
+    stream: sockets.SocketStream,
     connection: http_server.ServerConnection,
     handler: Handler,
 ) -> bool:
--- a/packages/sassafras-node/src/sassafras_node/listening.py
+++ b/packages/sassafras-node/src/sassafras_node/listening.py
@@ -7,10 +7,9 @@
 
 from sassafras_base import events
 from sassafras_wire.http import client as http_client
+from sassafras_wire.http import sockets
 
-Serve = Callable[[trio.SocketStream, str], Awaitable[None]]
-
-_BACKLOG = 1024
+Serve = Callable[[sockets.SocketStream, str], Awaitable[None]]
 
 
 @events.declare(101, "WARNING")
@@ -34,20 +33,18 @@
         self.name = name
         self._address = address
         self._serve = serve
-        self._listeners: list[trio.SocketListener] = []
+        self._listener: sockets.Listener | None = None
         self._nursery: trio.Nursery | None = None
         self._closed = False
 
-    async def bind(self) -> None:
+    def bind(self) -> None:
         """Binds the address.
 
         Raises:
           OSError: The address cannot be bound.
         """
         host, port = http_client.split_address(self._address)
-        self._listeners = await trio.open_tcp_listeners(
-            port, host=host, backlog=_BACKLOG
-        )
+        self._listener = sockets.Listener.bind(host, port)
 
     async def run_sessions(self) -> None:
         """Holds the nursery of the sessions until cancelled."""
@@ -60,36 +57,31 @@
 
     async def accept(self) -> None:
         """Accepts connections until cancelled; idle after `close`."""
-        listener = self._listeners[0]
+        assert self._listener is not None
         while not self._closed:
             try:
-                stream = await listener.accept()
+                connections = await self._listener.accept()
             except trio.ClosedResourceError:
                 break
-            if self._nursery is None:
-                stream.socket.close()
-                continue
-            self._nursery.start_soon(self._run_session, stream)
+            for stream, peer in connections:
+                if self._nursery is None:
+                    stream.close()
+                else:
+                    self._nursery.start_soon(self._run_session, stream, peer)
         await trio.sleep_forever()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes the socket; running sessions continue."""
         self._closed = True
-        for listener in self._listeners:
-            await listener.aclose()
+        if self._listener is not None:
+            self._listener.close()
 
-    async def _run_session(self, stream: trio.SocketStream) -> None:
-        try:
-            host, port, *_ = stream.socket.getpeername()
-        except OSError:
-            # Reset before it was accepted.
-            stream.socket.close()
-            return
-        peer = f"{host}:{port}"
+    async def _run_session(
+        self, stream: sockets.SocketStream, peer: str
+    ) -> None:
         try:
             await self._serve(stream, peer)
         except Exception as error:
             session_failed(self.name, peer, repr(error))
         finally:
-            # Closing the trio stream would yield to other tasks first.
-            stream.socket.close()
+            stream.close()
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -1,18 +1,17 @@
 """Serves readiness checks and metrics on one connection."""
 
-import trio
-
 from sassafras_node import http_session
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.reports import exposition
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
+from sassafras_wire.http import sockets
 
 _METRICS_PATH = "/metrics"
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves requests until the client disconnects."""
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
@@ -1,15 +1,14 @@
 """Serves one connection of a caller or of the local target."""
 
-import trio
-
 from sassafras_node import http_session
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import entry
 from sassafras_policy.calls import messages
+from sassafras_wire.http import sockets
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves requests until the caller disconnects."""
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -9,6 +9,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
+from sassafras_wire.http import sockets
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
@@ -43,7 +44,7 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves calls until the other node disconnects."""
     connection = frames.FrameStream(
@@ -61,7 +62,7 @@
 
 async def _serve_next(
     runtime: runtimes.Runtime,
-    stream: trio.SocketStream,
+    stream: sockets.SocketStream,
     connection: frames.FrameStream,
 ) -> bool:
     """Serves one call; returns False when no other call may follow."""
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -8,6 +8,7 @@
 from sassafras_base import events
 from sassafras_base import registry
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_wire.http import sockets
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
@@ -26,7 +27,7 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Responds to messages; sends an update when this node's entry changes."""
     async with trio.open_nursery() as nursery:
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -68,7 +68,7 @@
         link_listener,
     ]
     for listener in listeners:
-        await listener.bind()
+        listener.bind()
     root = supervision.Supervisor("node/mesh")
     children: dict[str, supervision.ChildFunction] = {
         "store": functools.partial(store.run, runtime),
@@ -99,7 +99,7 @@
     finally:
         with trio.CancelScope(shield=True):
             for listener in listeners:
-                await listener.close()
+                listener.close()
 
 
 async def _leave(
@@ -122,7 +122,7 @@
             await trio.sleep(_UPDATE_DELAY_S)
             await runtime.drain.idle.wait()
         for listener in listeners:
-            await listener.close()
+            listener.close()
         await runtime.drain.idle.wait()
     with trio.move_on_after(_WITHDRAW_TIMEOUT_S):
         await own_entry.withdraw(runtime)
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
@@ -1,7 +1,5 @@
 """Serves the announcements of the local target on one connection."""
 
-import trio
-
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_node import http_session
@@ -9,6 +7,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.mesh import targets
+from sassafras_wire.http import sockets
 
 
 @events.declare(810, "INFO")
@@ -35,7 +34,7 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves announcements until the target disconnects."""
 
--- a/packages/sassafras-node/src/sassafras_node/peers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/session.py
@@ -8,6 +8,7 @@
 from sassafras_node.calls import peer_calls
 from sassafras_node.peers import handlers
 from sassafras_policy.calls import messages
+from sassafras_wire.http import sockets
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
@@ -169,7 +170,7 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves calls and control messages until the peer disconnects."""
     async with trio.open_nursery() as nursery:
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -63,7 +63,7 @@
         admin.make_listener(runtime),
     ]
     for listener in listeners:
-        await listener.bind()
+        listener.bind()
     caller_listener, target_listener, peer_listener, admin_listener = listeners
     root = supervision.Supervisor("node")
     runtime.supervisors[root.path] = root
@@ -93,7 +93,7 @@
     finally:
         with trio.CancelScope(shield=True):
             for listener in listeners:
-                await listener.close()
+                listener.close()
 
 
 async def _drain(
@@ -104,7 +104,7 @@
     # Meanwhile callers on open connections are told to use another node.
     await trio.sleep(_LEAVE_NOTICE_S)
     # New connections are refused, so callers know that nothing was sent.
-    await caller_listener.close()
+    caller_listener.close()
     with trio.move_on_after(_DRAIN_TIMEOUT_S):
         await runtime.drain.idle.wait()
     await handovers.deposit(runtime)
--- a/packages/sassafras-node/src/sassafras_node/targets/session.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/session.py
@@ -1,16 +1,15 @@
 """Serves connections from the local target."""
 
-import trio
-
 from sassafras_node import http_session
 from sassafras_node import runtime as runtimes
 from sassafras_node.calls import entry
 from sassafras_node.targets import announcements
 from sassafras_policy.calls import messages
+from sassafras_wire.http import sockets
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: trio.SocketStream, peer: str
+    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
     """Serves announcements and sub-calls until the target disconnects."""
 
--- a/packages/sassafras-standins/src/sassafras_standins/platform/processes.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/processes.py
@@ -30,6 +30,7 @@
         store_address: str,
         settings: str,
         profile: str = "",
+        source: pathlib.Path | None = None,
     ) -> None:
         """Writes the boot file; `start` starts the process.
 
@@ -39,6 +40,7 @@
           store_address: Address of the store.
           settings: Path of the INI file that selects the policies.
           profile: Path for cProfile output; empty to run without profiling.
+          source: Checkout whose code is run; None for this one.
         """
         self.machine = machine
         self.log = folder / f"{machine.name}.log"
@@ -46,6 +48,7 @@
         self._boot_path.write_bytes(machine.boot_file(store_address))
         self._settings = settings
         self._profile = profile
+        self._source = source
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -65,11 +68,24 @@
                     "sassafras_platform",
                     f"--settings={self._settings}",
                 ],
-                env={**os.environ, "SASSAFRASMOUNT_BOOT": str(self._boot_path)},
+                env=self._environment(),
                 stdout=log,
                 stderr=log,
             )
 
+    def _environment(self) -> dict[str, str]:
+        environment = {
+            **os.environ,
+            "SASSAFRASMOUNT_BOOT": str(self._boot_path),
+        }
+        if self._source is not None:
+            folders = [
+                *sorted(self._source.glob("packages/*/src")),
+                self._source / "platform/src",
+            ]
+            environment["PYTHONPATH"] = os.pathsep.join(map(str, folders))
+        return environment
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal, if the process runs."""
         if self._process is not None and self._process.poll() is None:
--- a/packages/sassafras-standins/src/sassafras_standins/serving.py
+++ b/packages/sassafras-standins/src/sassafras_standins/serving.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import functools
 
 import trio
 
@@ -11,6 +10,7 @@
 from sassafras_wire.http import client as http_client
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
+from sassafras_wire.http import sockets
 
 Handler = Callable[[messages.Request], Awaitable[messages.CallResponse]]
 
@@ -35,19 +35,21 @@
 ) -> None:
     """Serves requests at an address until cancelled."""
     host, port = http_client.split_address(address)
-    listeners = await trio.open_tcp_listeners(port, host=host, backlog=1024)
+    listener = sockets.Listener.bind(host, port)
     task_status.started()
     watcher = disconnects.DisconnectMonitor()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(watcher.run)
-        await trio.serve_listeners(
-            functools.partial(_serve, handler=handler, watcher=watcher),
-            listeners,
-        )
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            while True:
+                for stream, _ in await listener.accept():
+                    nursery.start_soon(_serve, stream, handler, watcher)
+    finally:
+        listener.close()
 
 
 async def _serve(
-    stream: trio.SocketStream,
+    stream: sockets.SocketStream,
     handler: Handler,
     watcher: disconnects.DisconnectMonitor,
 ) -> None:
@@ -63,11 +65,12 @@
         trio.ClosedResourceError,
     ):
         pass
-    await trio.aclose_forcefully(stream)
+    finally:
+        stream.close()
 
 
 async def _serve_next(
-    stream: trio.SocketStream,
+    stream: sockets.SocketStream,
     connection: http_server.ServerConnection,
     handler: Handler,
     watcher: disconnects.DisconnectMonitor,
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -42,6 +42,14 @@
 # More responses than this before the right one are a protocol error.
 _MAX_SKIPPED_RESPONSES = 4
 
+# A server in trouble may send bytes without end that never become a body of
+# more than the limit: interim responses, chunk extensions, tiny chunks.
+_MAX_INTERIM_RESPONSES = 16
+_MAX_FRAMING_BYTES = 2 * _HEADER_BYTES
+_MAX_FRAMING_RATIO = 8
+_MAX_SMALL_CHUNKS = 1024
+_SMALL_CHUNK_BYTES = 64
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Returns host and port of a `host:port` address."""
@@ -51,7 +59,7 @@
 
 async def open_stream(
     address: str, step: str, timeout_s: float
-) -> trio.SocketStream:
+) -> sockets.SocketStream:
     """Opens a connection to a `host:port` address.
 
     Raises:
@@ -60,7 +68,7 @@
     host, port = split_address(address)
     try:
         with trio.fail_after(timeout_s):
-            return await trio.open_tcp_stream(host, port)
+            return await sockets.SocketStream.connect(host, port)
     except (OSError, trio.TooSlowError) as error:
         raise errors.UnreachableError(
             step, address, f"cannot connect: {error!r}"
@@ -86,6 +94,9 @@
             h11.CLIENT, max_incomplete_event_size=_HEADER_BYTES
         )
         self._received_eof = False
+        self._received_bytes = 0
+        self._is_sending = False
+        self._has_foreign_response = False
         self._reuse_until = math.inf
 
     @classmethod
@@ -98,7 +109,7 @@
           UnreachableError: The server did not accept within the timeout.
         """
         stream = await open_stream(address, step, timeout_s)
-        sockets.enable_keepalive(stream)
+        stream.enable_keepalive()
         return cls(stream, address, step, body_limit)
 
     @property
@@ -108,6 +119,8 @@
             self._connection.our_state is h11.IDLE
             and self._connection.their_state is h11.IDLE
             and not self._connection.trailing_data[0]
+            and not self._is_sending
+            and not self._has_foreign_response
         )
 
     def is_stale(self) -> bool:
@@ -117,9 +130,9 @@
         """
         if trio.current_time() >= self._reuse_until:
             return True
-        if not isinstance(self._stream, trio.SocketStream):
+        if not isinstance(self._stream, sockets.SocketStream):
             return False
-        return sockets.has_input(self._stream)
+        return self._stream.has_input()
 
     async def exchange(
         self,
@@ -141,10 +154,56 @@
             complete; the request may have run.
           ProtocolError: The response breaks HTTP/1.1 or is too large.
         """
-        await self._send(request, progress or progresses.Progress())
+        rest = await self._start_sending(
+            self._encode(request), progress or progresses.Progress()
+        )
+        if rest:
+            response = await self._receive_while_sending(
+                rest, request, is_expected
+            )
+        else:
+            response = await self._receive_expected(request, is_expected)
+        if (
+            self._connection.our_state is h11.DONE
+            and self._connection.their_state is h11.DONE
+        ):
+            self._connection.start_next_cycle()
+            self._reuse_until = trio.current_time() + _keep_alive_s(response)
+        return response
+
+    async def _receive_while_sending(
+        self,
+        rest: memoryview,
+        request: messages.Request,
+        is_expected: ResponseCheck | None,
+    ) -> Response:
+        """Sends the rest of a request while its response is received.
+
+        A server may respond before it has read a long body. The connection is
+        then not reused, as the rest of the body is still due on it.
+        """
+        response: Response | None = None
+        failure: errors.SassafrasError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_rest, rest)
+            try:
+                response = await self._receive_expected(request, is_expected)
+            except errors.SassafrasError as error:
+                # Raised in the nursery, it would become an exception group.
+                failure = error
+            nursery.cancel_scope.cancel()
+        if response is None:
+            raise failure or self._lost("closed before it answered")
+        return response
+
+    async def _receive_expected(
+        self, request: messages.Request, is_expected: ResponseCheck | None
+    ) -> Response:
+        """Returns the response to a request; skips those to earlier ones."""
         response = await self._receive()
         skipped = 0
         while is_expected is not None and not is_expected(response):
+            self._has_foreign_response = True
             skipped += 1
             if skipped > _MAX_SKIPPED_RESPONSES:
                 raise errors.ProtocolError(
@@ -152,28 +211,35 @@
                 )
             self._prepare_next_response(request)
             response = await self._receive()
-        if (
-            self._connection.our_state is h11.DONE
-            and self._connection.their_state is h11.DONE
-        ):
-            self._connection.start_next_cycle()
-            self._reuse_until = trio.current_time() + _keep_alive_s(response)
         return response
 
     async def _receive(self) -> Response:
         """Reads one complete response."""
+        self._received_bytes = 0
         head = await self._receive_head()
         body = bytearray()
-        async for chunk in self._chunks():
-            body += chunk
+        chunks = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            body += event.data
+            chunks += event.chunk_start
             if len(body) > self._body_limit:
-                raise errors.ProtocolError(
-                    self.step,
-                    self.peer,
-                    f"the response is over {self._body_limit} bytes",
-                )
+                raise self._excess(f"is over {self._body_limit} bytes")
+            self._check_framing(len(body), chunks)
         return _to_response(head, bytes(body))
 
+    def _check_framing(self, body_bytes: int, chunks: int) -> None:
+        """Rejects a body that is lost in the bytes that frame it."""
+        allowed_bytes = _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * body_bytes
+        if self._received_bytes > allowed_bytes:
+            raise self._excess("has more framing than body")
+        if chunks > _MAX_SMALL_CHUNKS + body_bytes // _SMALL_CHUNK_BYTES:
+            raise self._excess("has too many small chunks")
+
+    def _excess(self, problem: str) -> errors.ProtocolError:
+        return errors.ProtocolError(
+            self.step, self.peer, f"the response {problem}"
+        )
+
     def _prepare_next_response(self, request: messages.Request) -> None:
         """Prepares to parse the response after a skipped one.
 
@@ -194,7 +260,12 @@
         self, request: messages.Request
     ) -> tuple[int, AsyncIterator[bytes]]:
         """Sends a request and returns the status and the body's chunks."""
-        await self._send(request, progresses.Progress())
+        data = self._encode(request)
+        rest = await self._start_sending(data, progresses.Progress())
+        try:
+            await self._stream.send_all(rest)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise self._lost(f"lost while sending: {error!r}") from None
         head = await self._receive_head()
         return head.status_code, self._chunks()
 
@@ -202,31 +273,36 @@
         """Closes the connection at once."""
         await trio.aclose_forcefully(self._stream)
 
-    async def _send(
-        self, request: messages.Request, progress: progresses.Progress
-    ) -> None:
-        data = self._encode(request)
-        if not isinstance(self._stream, trio.SocketStream):
+    async def _start_sending(
+        self, data: bytes, progress: progresses.Progress
+    ) -> memoryview:
+        """Sends as much as the connection takes at once; returns the rest."""
+        view = memoryview(data)
+        if not isinstance(self._stream, sockets.SocketStream):
             progress.may_have_run = True
             try:
                 await self._stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as e:
                 raise self._lost(f"lost while sending: {e!r}") from None
-            return
-        # `send_all` does not report how many bytes the socket had accepted
-        # when it failed or was cancelled, so this loop counts them.
-        sent = 0
+            return view[len(view) :]
         try:
-            with memoryview(data) as view:
-                while sent < len(data):
-                    sent += await self._stream.socket.send(view[sent:])
-                    progress.may_have_run = True
-        except (OSError, trio.ClosedResourceError) as error:
-            if sent == 0:
-                raise errors.UnreachableError(
-                    self.step, self.peer, f"closed before sending: {error!r}"
-                ) from None
-            raise self._lost(f"lost while sending: {error!r}") from None
+            sent = self._stream.send_now(view)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise errors.UnreachableError(
+                self.step, self.peer, f"closed before sending: {error!r}"
+            ) from None
+        progress.may_have_run = True
+        return view[sent:]
+
+    async def _send_rest(self, rest: memoryview) -> None:
+        assert isinstance(self._stream, sockets.SocketStream)
+        self._is_sending = True
+        try:
+            await self._stream.send_all(rest)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The task that receives notices and reports the loss.
+            return
+        self._is_sending = False
 
     def _encode(self, request: messages.Request) -> bytes:
         """Returns a request as bytes; the parser then expects its response."""
@@ -251,12 +327,13 @@
         return errors.ConnectionLostError(self.step, self.peer, problem)
 
     async def _receive_head(self) -> h11.Response:
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._lost("closed before it answered")
+        raise self._excess("has only interim responses")
 
     async def _chunks(self) -> AsyncIterator[bytes]:
         while True:
@@ -286,6 +363,7 @@
             ) as error:
                 raise self._lost(f"lost while reading: {error!r}") from None
             self._received_eof = not data
+            self._received_bytes += len(data)
             self._connection.receive_data(bytes(data))
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from sassafras_wire.http import sockets
+
 # The work for a request must end within half a second of the client's
 # disconnect; a call passes through two nodes, each with this interval.
 _POLL_INTERVAL_S = 0.1
@@ -33,9 +35,9 @@
                 self._has_streams = trio.Event()
 
     @contextlib.contextmanager
-    def watch(self, stream: trio.SocketStream) -> Iterator[None]:
+    def watch(self, stream: sockets.SocketStream) -> Iterator[None]:
         """Cancels the body of the context when the client disconnects."""
-        descriptor = stream.socket.fileno()
+        descriptor = stream.fileno()
         with trio.CancelScope() as scope:
             self._scopes[descriptor] = scope
             self._poll.register(descriptor, select.POLLRDHUP)
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -1,9 +1,24 @@
-"""Socket state and keepalive options of connections."""
+"""TCP connections and listeners that are tried before they are waited for.
 
+The streams of trio yield to the scheduler at each call, also where nothing
+blocks. Each yield costs a pass of the event loop and a system call, and a call
+between two nodes sends and receives eight times.
+"""
+
+import errno
+import ipaddress
+import select
 import socket
+from typing import Any
+from typing import Self
 
 import trio
 
+_READ_BYTES = 64 * 1024
+_BACKLOG = 1024
+# Connections that are accepted before other tasks run again.
+_MAX_ACCEPTED_AT_ONCE = 16
+
 # A network partition causes neither a reset nor an end of the connection. With
 # these, a connection without acknowledgements fails within about 3 s.
 _USER_TIMEOUT_MS = 3000
@@ -11,19 +26,229 @@
 _PROBE_INTERVAL_S = 1
 _PROBE_COUNT = 2
 
+# Faults of one connection that the kernel reports to `accept`.
+_ABORTED_CONNECTION_ERRORS = frozenset(
+    [
+        errno.ECONNABORTED,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.ENOPROTOOPT,
+        errno.EPERM,
+        errno.EPROTO,
+    ]
+)
+
+
+class SocketStream(trio.abc.Stream):
+    """A connected TCP socket.
+
+    A method yields to the scheduler only where the socket would block. Reading
+    waits first, as data rarely has arrived when a task asks for it; only the
+    first read of an accepted connection is tried at once.
+    """
+
+    def __init__(
+        self, sock: socket.socket, *, is_accepted: bool = False
+    ) -> None:
+        """Takes over a connected socket that does not block.
+
+        Args:
+          sock: The socket.
+          is_accepted: Whether the other side opened the connection and has
+            probably sent data already.
+        """
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sock
+        self._reads_at_once = is_accepted
+
+    @classmethod
+    async def connect(cls, host: str, port: int) -> Self:
+        """Opens a connection.
+
+        Raises:
+          OSError: No address of the host accepts the connection.
+        """
+        failure = OSError(errno.EADDRNOTAVAIL, f"no address of {host!r}")
+        for family, address in await _resolve(host, port):
+            sock = socket.socket(
+                family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK
+            )
+            try:
+                await _connect(sock, address)
+                return cls(sock)
+            except OSError as error:
+                sock.close()
+                failure = error
+            except BaseException:
+                sock.close()
+                raise
+        raise failure
+
+    def fileno(self) -> int:
+        """Returns the descriptor; -1 after `close`."""
+        return self._socket.fileno()
+
+    def has_input(self) -> bool:
+        """Returns whether bytes or the end of the stream can be read."""
+        if self._socket.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def enable_keepalive(self) -> None:
+        """Makes the connection fail when nothing is acknowledged for 3 s."""
+        for level, option, value in (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _IDLE_BEFORE_PROBE_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+        ):
+            self._socket.setsockopt(level, option, value)
+
+    def send_now(self, data: bytes | memoryview) -> int:
+        """Sends what the socket takes without blocking; returns its size.
+
+        Raises:
+          BrokenResourceError: The connection is lost.
+          ClosedResourceError: This side has closed the connection.
+        """
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise self._failure(error) from error
+
+    async def wait_writable(self) -> None:
+        """Waits until the socket takes bytes or the connection is lost."""
+        await trio.lowlevel.wait_writable(self._socket)
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Sends all bytes; see trio.abc.SendStream."""
+        with memoryview(data) as view:
+            sent = self.send_now(view)
+            while sent < len(view):
+                await self.wait_writable()
+                sent += self.send_now(view[sent:])
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """See trio.abc.SendStream."""
+        await self.wait_writable()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Returns received bytes; see trio.abc.ReceiveStream."""
+        if self._reads_at_once:
+            self._reads_at_once = False
+        else:
+            await self._wait_readable()
+        while True:
+            try:
+                return self._socket.recv(max_bytes or _READ_BYTES)
+            except BlockingIOError:
+                await self._wait_readable()
+            except OSError as error:
+                raise self._failure(error) from error
+
+    async def aclose(self) -> None:
+        """Closes the connection at once; see trio.abc.AsyncResource."""
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Closes the connection at once, without yielding."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+    async def _wait_readable(self) -> None:
+        if self._socket.fileno() < 0:
+            raise trio.ClosedResourceError("this side has closed the socket")
+        await trio.lowlevel.wait_readable(self._socket)
+
+    def _failure(self, error: OSError) -> Exception:
+        if self._socket.fileno() < 0:
+            return trio.ClosedResourceError("this side has closed the socket")
+        return trio.BrokenResourceError(f"socket connection broken: {error}")
+
+
+class Listener:
+    """A bound TCP socket that accepts connections."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Takes over a listening socket that does not block."""
+        self._socket = sock
+
+    @classmethod
+    def bind(cls, host: str, port: int) -> Self:
+        """Binds an address.
+
+        Raises:
+          OSError: The address cannot be bound.
+        """
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.create_server(
+            (host, port), family=family, backlog=_BACKLOG
+        )
+        sock.setblocking(False)
+        return cls(sock)
+
+    async def accept(self) -> list[tuple[SocketStream, str]]:
+        """Waits for connections; returns them with the peers' addresses.
+
+        Raises:
+          ClosedResourceError: This side has closed the listener.
+          OSError: The process cannot take more connections.
+        """
+        accepted: list[tuple[SocketStream, str]] = []
+        while not accepted:
+            if self._socket.fileno() < 0:
+                raise trio.ClosedResourceError("the listener is closed")
+            await trio.lowlevel.wait_readable(self._socket)
+            while len(accepted) < _MAX_ACCEPTED_AT_ONCE:
+                try:
+                    sock, address = self._socket.accept()
+                    sock.setblocking(False)
+                    stream = SocketStream(sock, is_accepted=True)
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    if error.errno in _ABORTED_CONNECTION_ERRORS:
+                        continue
+                    if accepted:
+                        # The next call reports it again.
+                        break
+                    raise
+                accepted.append((stream, f"{address[0]}:{address[1]}"))
+        return accepted
+
+    def close(self) -> None:
+        """Closes the socket; accepted connections stay open."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+
+_Address = tuple[socket.AddressFamily, tuple[Any, ...]]
+
 
-def has_input(stream: trio.SocketStream) -> bool:
-    """Returns whether bytes or the end of the stream can be read."""
-    return stream.socket.fileno() < 0 or stream.socket.is_readable()
+async def _resolve(host: str, port: int) -> list[_Address]:
+    try:
+        version = ipaddress.ip_address(host).version
+    except ValueError:
+        results = await trio.socket.getaddrinfo(
+            host, port, type=socket.SOCK_STREAM
+        )
+        return [(family, address) for family, _, _, _, address in results]
+    family = socket.AF_INET if version == 4 else socket.AF_INET6
+    return [(family, (host, port))]
 
 
-def enable_keepalive(stream: trio.SocketStream) -> None:
-    """Makes a connection fail when its peer acknowledges nothing for 3 s."""
-    for level, option, value in (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _IDLE_BEFORE_PROBE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    ):
-        stream.setsockopt(level, option, value)
+async def _connect(sock: socket.socket, address: tuple[Any, ...]) -> None:
+    code = sock.connect_ex(address)
+    if code == errno.EINPROGRESS:
+        await trio.lowlevel.wait_writable(sock)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        raise OSError(code, errno.errorcode.get(code, "cannot connect"))
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
@@ -5,6 +5,7 @@
 from sassafras_base import errors
 from sassafras_policy.calls import progress as progresses
 from sassafras_wire.http import client
+from sassafras_wire.http import sockets
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
 
@@ -22,7 +23,7 @@
 class CallConnection:
     """Sends one call at a time and receives its response."""
 
-    def __init__(self, stream: trio.SocketStream, address: str) -> None:
+    def __init__(self, stream: sockets.SocketStream, address: str) -> None:
         self._address = address
         self._frames = frames.FrameStream(stream, address, MAX_MESSAGE_BYTES)
         self._is_reusable = True
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(
-        self, stream: trio.SocketStream, peer: str, max_bytes: int
+        self, stream: sockets.SocketStream, peer: str, max_bytes: int
     ) -> None:
         """Creates a frame stream on an open connection.
 
@@ -41,12 +41,12 @@
         self._stream = stream
         self._max_bytes = max_bytes
         self._buffer = bytearray()
-        sockets.enable_keepalive(stream)
+        stream.enable_keepalive()
 
     @property
     def is_readable(self) -> bool:
         """Whether bytes or the end of the stream can be read."""
-        return sockets.has_input(self._stream)
+        return self._stream.has_input()
 
     async def send(
         self, message: models.Message, progress: progresses.Progress
@@ -63,12 +63,9 @@
         """
         content = codec.encode(message)
         data = _LENGTH.pack(len(content)) + content
-        sent = 0
         try:
-            with memoryview(data) as view:
-                while sent < len(data):
-                    sent += await self._stream.socket.send(view[sent:])
-        except (OSError, trio.ClosedResourceError) as error:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise errors.UnreachableError(
                 "peer.send", self.peer, f"lost while sending: {error!r}"
             ) from None
@@ -99,7 +96,7 @@
 
     def close(self) -> None:
         """Closes the connection at once."""
-        self._stream.socket.close()
+        self._stream.close()
 
     async def _fill(self, wanted: int) -> bool:
         """Reads until `wanted` bytes are buffered; False at the end."""
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -238,7 +238,7 @@
 
 async def accept_link(
     nursery: trio.Nursery,
-    stream: trio.SocketStream,
+    stream: trio.abc.Stream,
     address: str,
     credentials: Credentials,
 ) -> Link:
@@ -270,7 +270,7 @@
 
 async def upgrade(
     nursery: trio.Nursery,
-    stream: trio.SocketStream,
+    stream: trio.abc.Stream,
     address: str,
     timeout_s: float,
     traffic: ControlTraffic | None = None,
--- a/tests/common/call_nodes.py
+++ b/tests/common/call_nodes.py
@@ -133,7 +133,7 @@
             peers.make_listener(runtime),
             targets.make_listener(runtime),
         ):
-            await listener.bind()
+            listener.bind()
             self._nursery.start_soon(listener.run_sessions)
             self._nursery.start_soon(listener.accept)
         self._nursery.start_soon(runtime.peer_pools.run_readers)
--- a/tests/mesh/test_call_connections.py
+++ b/tests/mesh/test_call_connections.py
@@ -12,6 +12,7 @@
 from sassafras_standins.fleet import launcher
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import pool
+from sassafras_wire.http import sockets
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
@@ -44,12 +45,23 @@
 
     async def start(self):
         host, port = self.address.rsplit(":", 1)
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
-        self._nursery.start_soon(trio.serve_listeners, self._handle, listeners)
+        listener = sockets.Listener.bind(host, int(port))
+        self._nursery.start_soon(self._accept, listener)
+
+    async def _accept(self, listener):
+        try:
+            while True:
+                for stream, _ in await listener.accept():
+                    self._nursery.start_soon(self._handle, stream)
+        finally:
+            listener.close()
 
     async def _handle(self, stream):
         self.connections += 1
-        await self._serve(stream)
+        try:
+            await self._serve(stream)
+        finally:
+            stream.close()
 
     async def connect(self):
         return await call_connection.CallConnection.connect(self.address, 1.0)
