Use fewer cancel scopes for a call and choose among a sample of targets

Cause: each scope costs as much as a system call, and the choice built a candidate for each target of the service at each call.

Change: complete requests are parsed without a timeout, the deadline of a call of another node shares the scope of its disconnect detection, the node's own entry is kept until it changes, and a choice looks at four targets of the zone while one of them has room. A request whose client has left is dropped before it is passed on, at both nodes.

--- a/packages/sassafras-base/src/sassafras_base/events.py
+++ b/packages/sassafras-base/src/sassafras_base/events.py
@@ -23,6 +23,8 @@
 
 P = ParamSpec("P")
 
+# Levels that events may have.
+_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
 _LOG_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {message}"
 
 
@@ -78,13 +80,18 @@
 
     def __init__(self, writer: line_writer.LineWriter, level: str) -> None:
         self._writer = writer
-        self._min_level = loguru.logger.level(level).no
+        min_level = loguru.logger.level(level).no
+        self._levels = frozenset(
+            name
+            for name in _LEVELS
+            if loguru.logger.level(name).no >= min_level
+        )
 
     def write_event(
         self, event: LogEvent, args: tuple[Any, ...], kwargs: dict[str, Any]
     ) -> None:
         """Writes a line unless the event is below the minimum level."""
-        if loguru.logger.level(event.level).no < self._min_level:
+        if event.level not in self._levels:
             return
         if not self._writer.try_reserve():
             return
--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -102,6 +102,9 @@
         request = await connection.receive()
         if request is None:
             return False
+        # A full node reads a request long after it has arrived.
+        if stream.is_disconnected():
+            return False
         response: messages.CallResponse | None = None
         with runtime.disconnects.watch(stream):
             response = await handler(request)
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -7,6 +7,7 @@
 from sassafras_base import errors
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import local
+from sassafras_policy.balancing import balancers
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
@@ -22,6 +23,8 @@
 # Nodes that may refuse a call before it fails. A call refused by a node has not
 # reached its target, so it uses nothing of the shared budget.
 _MAX_REFUSALS = 2
+# Targets of the zone that a choice compares while one of them has room.
+_SAMPLE_SIZE = 4
 # A second execution is of no use with less time left.
 _MIN_REMAINING_S = 0.05
 
@@ -148,25 +151,52 @@
     ]
     if is_own:
         serving.append(own)
-    candidates = [
+    choice = _choose_from_sample(runtime, serving)
+    if choice is None:
+        choice = runtime.balancer.choose(_candidates(runtime, serving))
+    if choice is None:
+        return None
+    if choice.node_id == own.node_id:
+        return own
+    return runtime.fleet.get(choice.node_id)
+
+
+def _choose_from_sample(
+    runtime: runtimes.Runtime, serving: list[targets.NodeEntry]
+) -> balancers.Candidate | None:
+    """Chooses among a few targets of the zone, if one of them has room.
+
+    Balancers prefer targets of the zone with room, so the result is as for all
+    targets, and its cost does not grow with the service.
+    """
+    zone = runtime.entry.availability_zone
+    near = [entry for entry in serving if entry.availability_zone == zone]
+    if len(near) <= _SAMPLE_SIZE:
+        return None
+    sample = runtime.rng.sample(near, _SAMPLE_SIZE)
+    choice = runtime.balancer.choose(_candidates(runtime, sample))
+    if choice is None or choice.ejected or choice.score >= 1.0:
+        return None
+    return choice
+
+
+def _candidates(
+    runtime: runtimes.Runtime, entries: list[targets.NodeEntry]
+) -> list[balancers.Candidate]:
+    zone = runtime.entry.availability_zone
+    return [
         runtime.target_tracker.make_candidate(
             entry.node_id,
             identity=(
                 entry.incarnation,
                 entry.target and entry.target.target_id,
             ),
-            same_zone=entry.availability_zone == own.availability_zone,
+            same_zone=entry.availability_zone == zone,
             slots=entry.target.capacity if entry.target else 1,
             cold_start_s=entry.target.cold_start_s if entry.target else 0.0,
         )
-        for entry in serving
+        for entry in entries
     ]
-    choice = runtime.balancer.choose(candidates)
-    if choice is None:
-        return None
-    if choice.node_id == own.node_id:
-        return own
-    return runtime.fleet.get(choice.node_id)
 
 
 async def _send(
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -78,6 +78,11 @@
     if call.request_id:
         runtime.running_calls[call.request_id] = call
     try:
+        # Sending does not yield, so a call whose caller has left, or whose
+        # deadline has passed, would otherwise still be sent.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        if started >= call.context.deadline:
+            return deadline_passed(progress)
         response = await runtime.target.pool.exchange(
             front_end.target_request(
                 call, target_id, call.context.deadline - started
@@ -123,18 +128,6 @@
             gate.leave_with_error()
 
 
-async def serve_within_deadline(
-    runtime: runtimes.Runtime, call: calls.Call, target_id: str
-) -> messages.CallResponse:
-    """Serves a call that another node has sent."""
-    progress = progresses.Progress()
-    remaining_s = call.context.deadline - runtime.clock.now()
-    # A busy node may read a call after its deadline has passed.
-    with trio.move_on_after(max(0.0, remaining_s)):
-        return await serve(runtime, call, target_id, progress)
-    return deadline_passed(progress)
-
-
 def deadline_passed(progress: progresses.Progress) -> messages.CallResponse:
     """Returns the response to a call that was ended at its deadline."""
     if progress.may_have_run:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -75,16 +75,15 @@
         raise errors.ProtocolError(
             "peer.call", connection.peer, f"{message.type!r} is not a call"
         )
+    # A full node reads a call long after it has arrived.
+    if stream.is_disconnected():
+        return False
     body_bytes = len(message.body)
     if not runtime.body_budget.reserve(body_bytes):
         return await _send_response(runtime, connection, _out_of_memory())
     runtime.drain.enter()
     try:
-        response: messages.CallResponse | None = None
-        with runtime.disconnects.watch(stream):
-            response = await _handle(runtime, message, connection.peer)
-        if response is None:
-            return False
+        response = await _handle(runtime, stream, message, connection.peer)
         return await _send_response(runtime, connection, response)
     finally:
         runtime.body_budget.release(body_bytes)
@@ -114,14 +113,25 @@
 
 
 async def _handle(
-    runtime: runtimes.Runtime, message: call_messages.CallMessage, peer: str
+    runtime: runtimes.Runtime,
+    stream: sockets.SocketStream,
+    message: call_messages.CallMessage,
+    peer: str,
 ) -> messages.CallResponse:
     now = runtime.clock.now()
     received = call_messages.to_call(message, now)
     call = received.call
-    response = await local.serve_within_deadline(
-        runtime, call, received.target_id
-    )
+    progress = progresses.Progress()
+    response: messages.CallResponse | None = None
+    with runtime.disconnects.watch(stream) as scope:
+        # A busy node may read a call after its deadline has passed.
+        scope.deadline = trio.current_time() + call.context.deadline - now
+        response = await local.serve(
+            runtime, call, received.target_id, progress
+        )
+    if response is None:
+        # After a disconnect nobody receives it.
+        response = local.deadline_passed(progress)
     runtime.measurements.count(
         "calls", str(response.reason or response.outcome)
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -123,10 +123,20 @@
         self.sub_call_failed_at = -math.inf
         self._incarnation = int(clock.wall() * 1000)
         self._limiter_context: limiters.LimiterContext | None = None
+        self._entry: targets.NodeEntry | None = None
+        self._entry_source: tuple[object, ...] = ()
 
     @property
     def entry(self) -> targets.NodeEntry:
         """The entry that this node publishes."""
+        source = (self.settings.host, self.is_leaving, self.target.published)
+        # Read several times for each call, and changed rarely.
+        if self._entry is None or source != self._entry_source:
+            self._entry = self._make_entry()
+            self._entry_source = source
+        return self._entry
+
+    def _make_entry(self) -> targets.NodeEntry:
         host = self.settings.host
         return targets.NodeEntry(
             node_id=host.node_id,
--- a/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
@@ -35,15 +35,18 @@
                 self._has_streams = trio.Event()
 
     @contextlib.contextmanager
-    def watch(self, stream: sockets.SocketStream) -> Iterator[None]:
-        """Cancels the body of the context when the client disconnects."""
+    def watch(self, stream: sockets.SocketStream) -> Iterator[trio.CancelScope]:
+        """Cancels the body of the context when the client disconnects.
+
+        The caller may give the scope a deadline, which saves a second scope.
+        """
         descriptor = stream.fileno()
         with trio.CancelScope() as scope:
             self._scopes[descriptor] = scope
             self._poll.register(descriptor, select.POLLRDHUP)
             self._has_streams.set()
             try:
-                yield
+                yield scope
             finally:
                 del self._scopes[descriptor]
                 self._poll.unregister(descriptor)
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -106,6 +106,8 @@
         )
         # A response to HEAD has the length of a body but no body.
         self._head_only = False
+        self._head: h11.Request | None = None
+        self._body = bytearray()
 
     async def await_request(self) -> bool:
         """Waits for the first byte of the next request.
@@ -132,8 +134,17 @@
         Raises:
           RequestRefusedError: The request breaks HTTP/1.1 or a limit.
         """
+        self._head = None
+        self._body = bytearray()
+        # Most requests have arrived whole, and need no timeout.
+        if self._parse():
+            return self._to_request()
         with trio.move_on_after(self._limits.request_timeout_s):
-            return await self._read_request()
+            while not self._parse():
+                if self._connection.they_are_waiting_for_100_continue:
+                    await self._send_continue()
+                await self._read()
+            return self._to_request()
         raise RequestRefusedError(
             self.peer,
             408,
@@ -183,9 +194,8 @@
         self._connection.receive_data(bytes(data))
         return bool(data)
 
-    async def _read_request(self) -> messages.Request | None:
-        head: h11.Request | None = None
-        body = bytearray()
+    def _parse(self) -> bool:
+        """Parses what has arrived; returns whether that ends the request."""
         while True:
             try:
                 event = self._connection.next_event()
@@ -197,27 +207,24 @@
                     self.peer, error.error_status_hint, problem
                 ) from None
             if event is h11.NEED_DATA:
-                if self._connection.they_are_waiting_for_100_continue:
-                    await self._send_continue()
-                await self._read()
-            elif isinstance(event, h11.Request):
-                head = event
+                return False
+            if isinstance(event, h11.Request):
+                self._head = event
                 self._head_only = event.method == b"HEAD"
                 self._check_header_size(event)
                 self._check_unambiguous(event)
             elif isinstance(event, h11.Data):
                 self._reserve(len(event.data))
-                body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise RequestRefusedError(
-                        self.peer,
-                        413,
-                        f"the body is over {self._limits.body_bytes} bytes",
-                    )
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return self._to_request(head, bytes(body))
+                self._body += event.data
+                if len(self._body) > self._limits.body_bytes:
+                    raise self._body_too_large()
             else:
-                return None
+                return True
+
+    def _body_too_large(self) -> RequestRefusedError:
+        return RequestRefusedError(
+            self.peer, 413, f"the body is over {self._limits.body_bytes} bytes"
+        )
 
     def _reserve(self, size: int) -> None:
         if self._budget is None:
@@ -267,7 +274,11 @@
         interim = h11.InformationalResponse(status_code=100, headers=[])
         await self._stream.send_all(self._connection.send(interim) or b"")
 
-    def _to_request(self, head: h11.Request, body: bytes) -> messages.Request:
+    def _to_request(self) -> messages.Request | None:
+        """Returns the parsed request, or None if the client has closed."""
+        head = self._head
+        if head is None or self._connection.their_state is not h11.DONE:
+            return None
         path = head.target.decode("latin-1")
         if not path.startswith("/"):
             raise RequestRefusedError(
@@ -280,5 +291,5 @@
                 (name.decode("ascii"), value.decode("latin-1"))
                 for name, value in head.headers
             ),
-            body=body,
+            body=bytes(self._body),
         )
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -96,6 +96,14 @@
         poll.register(self._socket, select.POLLIN)
         return bool(poll.poll(0))
 
+    def is_disconnected(self) -> bool:
+        """Returns whether the other side has closed the connection."""
+        if self._socket.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(self._socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def enable_keepalive(self) -> None:
         """Makes the connection fail when nothing is acknowledged for 3 s."""
         for level, option, value in (
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -8,6 +8,7 @@
 from sassafras_node.mesh.calls import local
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import progress as progresses
 from sassafras_policy.mesh import calls
 from sassafras_standins.platform import documents
 from sassafras_standins.platform import endpoint
@@ -216,8 +217,11 @@
             ),
             is_idempotent=True,
         )
-        response = await local.serve_within_deadline(
-            node, late, fleet.endpoints["one"].target_id
+        response = await local.serve(
+            node,
+            late,
+            fleet.endpoints["one"].target_id,
+            progresses.Progress(),
         )
         assert response.outcome is outcomes.Outcome.NOT_RUN
         assert fleet.executions("r1") == 0
