Do not reuse a connection on which a response named no request

Cause: a target in trouble may write an earlier refusal once more on a kept connection. A refusal without an id was taken for the response to the call that was sent last, and the call counted as not run.

Change: a response that names no request is used, as refusals may be unnamed, but its connection is closed. Skipped responses end the reuse as well.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -88,7 +88,7 @@
                 call, target_id, call.context.deadline - started
             ),
             progress,
-            lambda response: front_end.is_response_to(call, response),
+            lambda response: front_end.match_response(call, response),
         )
         target_response = front_end.read_target_response(response)
         if not target_response.ran:
--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -128,9 +128,9 @@
         """Returns the request for a target."""
         ...
 
-    def is_response_to(
+    def match_response(
         self, call: calls.Call, response: client.Response
-    ) -> bool:
+    ) -> client.Match:
         """Returns whether a response answers this call."""
         ...
 
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
+import enum
 import math
 
 import h11
@@ -30,7 +31,23 @@
         return messages.first_value(self.headers, name)
 
 
-ResponseCheck = Callable[["Response"], bool]
+class Match(enum.Enum):
+    """Whether a response is for the request that was sent last.
+
+    Attributes:
+      OWN: It names the request.
+      UNNAMED: It names no request. It is for the last one, as no earlier
+        response on the connection was unnamed, but a copy of it could be taken
+        for the response to the next request.
+      OTHER: It names another request.
+    """
+
+    OWN = "own"
+    UNNAMED = "unnamed"
+    OTHER = "other"
+
+
+ResponseMatcher = Callable[["Response"], Match]
 
 # Used when the response has no `timeout` in a Keep-Alive field.
 _DEFAULT_KEEP_ALIVE_S = 60.0
@@ -96,7 +113,8 @@
         self._received_eof = False
         self._received_bytes = 0
         self._is_sending = False
-        self._has_foreign_response = False
+        # Whether a response seen here could be taken for a later one.
+        self._is_ambiguous = False
         self._reuse_until = math.inf
 
     @classmethod
@@ -120,7 +138,7 @@
             and self._connection.their_state is h11.IDLE
             and not self._connection.trailing_data[0]
             and not self._is_sending
-            and not self._has_foreign_response
+            and not self._is_ambiguous
         )
 
     def is_stale(self) -> bool:
@@ -138,14 +156,14 @@
         self,
         request: messages.Request,
         progress: progresses.Progress | None = None,
-        is_expected: ResponseCheck | None = None,
+        match: ResponseMatcher | None = None,
     ) -> Response:
         """Sends a request and returns the complete response.
 
         Args:
           request: The request.
           progress: Marked when the socket has accepted the first byte.
-          is_expected: Returns whether a response is for this request. A late
+          match: Returns whether a response is for this request. A late
             second response to an earlier request is skipped.
 
         Raises:
@@ -158,11 +176,9 @@
             self._encode(request), progress or progresses.Progress()
         )
         if rest:
-            response = await self._receive_while_sending(
-                rest, request, is_expected
-            )
+            response = await self._receive_while_sending(rest, request, match)
         else:
-            response = await self._receive_expected(request, is_expected)
+            response = await self._receive_matching(request, match)
         if (
             self._connection.our_state is h11.DONE
             and self._connection.their_state is h11.DONE
@@ -175,7 +191,7 @@
         self,
         rest: memoryview,
         request: messages.Request,
-        is_expected: ResponseCheck | None,
+        match: ResponseMatcher | None,
     ) -> Response:
         """Sends the rest of a request while its response is received.
 
@@ -187,7 +203,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_rest, rest)
             try:
-                response = await self._receive_expected(request, is_expected)
+                response = await self._receive_matching(request, match)
             except errors.SassafrasError as error:
                 # Raised in the nursery, it would become an exception group.
                 failure = error
@@ -196,22 +212,22 @@
             raise failure or self._lost("closed before it answered")
         return response
 
-    async def _receive_expected(
-        self, request: messages.Request, is_expected: ResponseCheck | None
+    async def _receive_matching(
+        self, request: messages.Request, match: ResponseMatcher | None
     ) -> Response:
         """Returns the response to a request; skips those to earlier ones."""
-        response = await self._receive()
-        skipped = 0
-        while is_expected is not None and not is_expected(response):
-            self._has_foreign_response = True
-            skipped += 1
-            if skipped > _MAX_SKIPPED_RESPONSES:
-                raise errors.ProtocolError(
-                    self.step, self.peer, "answers to other requests only"
-                )
-            self._prepare_next_response(request)
+        for skipped in range(_MAX_SKIPPED_RESPONSES + 1):
+            if skipped:
+                self._prepare_next_response(request)
             response = await self._receive()
-        return response
+            result = match(response) if match is not None else Match.OWN
+            if result is not Match.OWN:
+                self._is_ambiguous = True
+            if result is not Match.OTHER:
+                return response
+        raise errors.ProtocolError(
+            self.step, self.peer, "answers to other requests only"
+        )
 
     async def _receive(self) -> Response:
         """Reads one complete response."""
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -136,19 +136,17 @@
         self,
         request: messages.Request,
         progress: progresses.Progress | None = None,
-        is_expected: client.ResponseCheck | None = None,
+        match: client.ResponseMatcher | None = None,
     ) -> client.Response:
         """Sends a request on a pooled connection; raises as `Pool.use`.
 
         Args:
           request: The request.
           progress: Marked when the socket has accepted the first byte.
-          is_expected: Returns whether a response is for the request.
+          match: Returns whether a response is for the request.
         """
         return await self._pool.use(
-            lambda connection: connection.exchange(
-                request, progress, is_expected
-            )
+            lambda connection: connection.exchange(request, progress, match)
         )
 
     async def close(self) -> None:
--- a/tests/mesh/test_formats.py
+++ b/tests/mesh/test_formats.py
@@ -201,9 +201,13 @@
         True,
     )
     adapter = front_end.FrontEnd()
-    for response_id, is_expected in (("r1", True), ("r2", False)):
-        response = client.Response(200, (("request-id", response_id),), b"")
-        assert adapter.is_response_to(call, response) is is_expected
+    for headers, match in (
+        ((("request-id", "r1"),), client.Match.OWN),
+        ((("request-id", "r2"),), client.Match.OTHER),
+        ((), client.Match.UNNAMED),
+    ):
+        response = client.Response(200, headers, b"")
+        assert adapter.match_response(call, response) is match
 
 
 def test_the_settings_file_gives_addresses_and_bounds(tmp_path):
