Share one scope between the waits of a session

Change: the idle timeout of a session is the deadline of one scope, disconnect detection is a context of its own, and the header fields of a request are filtered in one pass.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 from typing import Protocol
 
 import trio
@@ -79,8 +80,10 @@
         stream, peer, runtime.http_limits, runtime.body_budget, format_headers
     )
     try:
-        while await _serve_next(runtime, stream, connection, handler):
-            pass
+        # One scope for all waits: a scope costs as much as a system call.
+        with trio.CancelScope() as idle:
+            while await _serve_next(runtime, stream, connection, handler, idle):
+                pass
     except http_server.RequestRefusedError as error:
         await _refuse(connection, refusal_formatter(error))
     except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -93,10 +96,13 @@
     stream: sockets.SocketStream,
     connection: http_server.ServerConnection,
     handler: Handler,
+    idle: trio.CancelScope,
 ) -> bool:
     """Serves one request; returns False when the connection has ended."""
-    if not await connection.await_request():
+    idle.deadline = trio.current_time() + runtime.http_limits.idle_timeout_s
+    if not await connection.await_request() or idle.cancel_called:
         return False
+    idle.deadline = math.inf
     runtime.drain.enter()
     try:
         request = await connection.receive()
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -151,7 +151,7 @@
     ]
     if is_own:
         serving.append(own)
-    choice = _choose_from_sample(runtime, serving)
+    choice = _choose_in_zone(runtime, serving)
     if choice is None:
         choice = runtime.balancer.choose(_candidates(runtime, serving))
     if choice is None:
@@ -161,20 +161,19 @@
     return runtime.fleet.get(choice.node_id)
 
 
-def _choose_from_sample(
+def _choose_in_zone(
     runtime: runtimes.Runtime, serving: list[targets.NodeEntry]
 ) -> balancers.Candidate | None:
     """Chooses among a few targets of the zone, if one of them has room.
 
-    Balancers prefer targets of the zone with room, so the result is as for all
-    targets, and its cost does not grow with the service.
+    Balancers prefer targets of the zone with room, so the others need not be
+    looked at, and the cost does not grow with the service.
     """
     zone = runtime.entry.availability_zone
     near = [entry for entry in serving if entry.availability_zone == zone]
-    if len(near) <= _SAMPLE_SIZE:
-        return None
-    sample = runtime.rng.sample(near, _SAMPLE_SIZE)
-    choice = runtime.balancer.choose(_candidates(runtime, sample))
+    if len(near) > _SAMPLE_SIZE:
+        near = runtime.rng.sample(near, _SAMPLE_SIZE)
+    choice = runtime.balancer.choose(_candidates(runtime, near))
     if choice is None or choice.ejected or choice.score >= 1.0:
         return None
     return choice
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -1,5 +1,7 @@
 """Serves the calls that another node sends on one connection."""
 
+import math
+
 import trio
 
 from sassafras_base import errors
@@ -13,7 +15,6 @@
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
-from sassafras_wire.peer import models
 
 
 @events.declare(830, "INFO")
@@ -51,8 +52,9 @@
         stream, peer, call_connection.MAX_MESSAGE_BYTES
     )
     try:
-        while await _serve_next(runtime, stream, connection):
-            pass
+        with trio.CancelScope() as idle:
+            while await _serve_next(runtime, stream, connection, idle):
+                pass
     except (errors.ConnectionLostError, errors.UnreachableError):
         # The other node has closed it, so its calls have ended there.
         return
@@ -64,13 +66,14 @@
     runtime: runtimes.Runtime,
     stream: sockets.SocketStream,
     connection: frames.FrameStream,
+    idle: trio.CancelScope,
 ) -> bool:
     """Serves one call; returns False when no other call may follow."""
-    message: models.Message | None = None
-    with trio.move_on_after(call_connection.IDLE_TIMEOUT_S):
-        message = await connection.receive()
-    if message is None:
+    idle.deadline = trio.current_time() + call_connection.IDLE_TIMEOUT_S
+    message = await connection.receive()
+    if message is None or idle.cancel_called:
         return False
+    idle.deadline = math.inf
     if not isinstance(message, call_messages.CallMessage):
         raise errors.ProtocolError(
             "peer.call", connection.peer, f"{message.type!r} is not a call"
--- a/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
@@ -1,8 +1,7 @@
 """Detects clients that disconnect while their request is served."""
 
-from collections.abc import Iterator
-import contextlib
 import select
+import types
 
 import trio
 
@@ -34,23 +33,47 @@
             if not self._scopes:
                 self._has_streams = trio.Event()
 
-    @contextlib.contextmanager
-    def watch(self, stream: sockets.SocketStream) -> Iterator[trio.CancelScope]:
-        """Cancels the body of the context when the client disconnects.
-
-        The caller may give the scope a deadline, which saves a second scope.
-        """
-        descriptor = stream.fileno()
-        with trio.CancelScope() as scope:
-            self._scopes[descriptor] = scope
-            self._poll.register(descriptor, select.POLLRDHUP)
-            self._has_streams.set()
-            try:
-                yield scope
-            finally:
-                del self._scopes[descriptor]
-                self._poll.unregister(descriptor)
+    def watch(self, stream: sockets.SocketStream) -> "Watch":
+        """Returns a context whose body a disconnect of the client cancels."""
+        return Watch(self, stream.fileno())
+
+    def add(self, descriptor: int, scope: trio.CancelScope) -> None:
+        """Cancels a scope when the client of a connection disconnects."""
+        self._scopes[descriptor] = scope
+        self._poll.register(descriptor, select.POLLRDHUP)
+        self._has_streams.set()
+
+    def remove(self, descriptor: int) -> None:
+        """Stops watching a connection."""
+        del self._scopes[descriptor]
+        self._poll.unregister(descriptor)
 
     def _cancel_disconnected(self) -> None:
         for descriptor, _ in self._poll.poll(0):
             self._scopes[descriptor].cancel()
+
+
+class Watch:
+    """A cancel scope that ends when the client disconnects.
+
+    The caller may give the scope a deadline, which saves a second scope.
+    """
+
+    def __init__(self, monitor: DisconnectMonitor, descriptor: int) -> None:
+        self._monitor = monitor
+        self._descriptor = descriptor
+        self._scope = trio.CancelScope()
+
+    def __enter__(self) -> trio.CancelScope:
+        self._scope.__enter__()
+        self._monitor.add(self._descriptor, self._scope)
+        return self._scope
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> bool | None:
+        self._monitor.remove(self._descriptor)
+        return self._scope.__exit__(kind, error, traceback)
--- a/packages/sassafras-wire/src/sassafras_wire/http/fields.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/fields.py
@@ -31,6 +31,9 @@
     [AUTHORIZATION, "cookie", "proxy-authorization", "x-api-key"]
 )
 
+# Values of `Connection` that name no header field, or one removed anyway.
+_COMMON_CONNECTION_OPTIONS = frozenset(["close", "keep-alive"])
+
 _PRODUCT_PREFIX = "sassafras-"
 
 
@@ -63,20 +66,24 @@
       headers: All fields, names in lower case.
       excluded: Names of further fields to remove.
     """
+    kept = tuple(
+        [
+            header
+            for header in headers
+            if header[0] not in _HOP_BY_HOP
+            and header[0] not in excluded
+            and not header[0].startswith(_PRODUCT_PREFIX)
+        ]
+    )
     connection_options = {
         token.strip().lower()
         for name, value in headers
         if name == "connection"
         for token in value.split(",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name not in _HOP_BY_HOP
-        and name not in excluded
-        and name not in connection_options
-        and not name.startswith(_PRODUCT_PREFIX)
-    )
+    } - _COMMON_CONNECTION_OPTIONS
+    if not connection_options:
+        return kept
+    return tuple(item for item in kept if item[0] not in connection_options)
 
 
 def outcome_value(response: messages.CallResponse) -> str:
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -48,7 +48,7 @@
         """
         self._connect = connect
         self._idle: list[C] = []
-        self._permits = trio.CapacityLimiter(size)
+        self._permits = trio.Semaphore(size, max_value=size)
 
     async def use(self, exchange: Callable[[C], Awaitable[R]]) -> R:
         """Runs an exchange on an idle or a new connection.
@@ -61,17 +61,16 @@
           ConnectionLostError: The connection ended after sending began.
           ProtocolError: The server broke the protocol.
         """
-        borrower = object()
         try:
             # Avoids the checkpoint of the awaited call, as a permit is nearly
             # always free.
-            self._permits.acquire_on_behalf_of_nowait(borrower)
+            self._permits.acquire_nowait()
         except trio.WouldBlock:
-            await self._permits.acquire_on_behalf_of(borrower)
+            await self._permits.acquire()
         try:
             return await self._use(exchange)
         finally:
-            self._permits.release_on_behalf_of(borrower)
+            self._permits.release()
 
     async def close(self) -> None:
         """Closes the idle connections."""
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -13,6 +13,7 @@
 
 _READ_BYTES = 64 * 1024
 _STEP = "http.receive"
+_HEADER_FRAMING_BYTES = len(": \r\n")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,14 +108,17 @@
         # A response to HEAD has the length of a body but no body.
         self._head_only = False
         self._head: h11.Request | None = None
+        self._headers: messages.Headers = ()
         self._body = bytearray()
+        self._is_complete = False
 
     async def await_request(self) -> bool:
         """Waits for the first byte of the next request.
 
+        The caller bounds the wait by `idle_timeout_s`.
+
         Returns:
-          Whether there is one; False when the client has closed the connection
-          or was idle for too long.
+          Whether there is one; False when the client has closed the connection.
         """
         if self._connection.states[h11.SERVER] is h11.DONE:
             if self._connection.states[h11.CLIENT] is not h11.DONE:
@@ -124,9 +128,7 @@
             return False
         if self._connection.trailing_data[0]:
             return True
-        with trio.move_on_after(self._limits.idle_timeout_s):
-            return await self._read()
-        return False
+        return await self._read()
 
     async def receive(self) -> messages.Request | None:
         """Returns the next request, or None when the client has closed.
@@ -136,6 +138,7 @@
         """
         self._head = None
         self._body = bytearray()
+        self._is_complete = False
         # Most requests have arrived whole, and need no timeout.
         if self._parse():
             return self._to_request()
@@ -211,14 +214,14 @@
             if isinstance(event, h11.Request):
                 self._head = event
                 self._head_only = event.method == b"HEAD"
-                self._check_header_size(event)
-                self._check_unambiguous(event)
+                self._headers = self._read_headers(event)
             elif isinstance(event, h11.Data):
                 self._reserve(len(event.data))
                 self._body += event.data
                 if len(self._body) > self._limits.body_bytes:
                     raise self._body_too_large()
             else:
+                self._is_complete = isinstance(event, h11.EndOfMessage)
                 return True
 
     def _body_too_large(self) -> RequestRefusedError:
@@ -237,38 +240,39 @@
             )
         self._held += size
 
-    def _check_header_size(self, head: h11.Request) -> None:
-        """Rejects a header block over the limit that arrived in one piece.
+    def _read_headers(self, head: h11.Request) -> messages.Headers:
+        """Returns the header fields of a request that is acceptable.
+
+        The parser checks its limit on the size only while a block is
+        incomplete, so one that arrived in one piece is checked here.
 
-        The parser checks its own limit only while a block is incomplete.
+        Two parsers may read a request with two body lengths differently: what
+        one takes for the body is a further request to the other. With two
+        keys, they may attribute the request to different callers.
         """
-        size = len(head.target) + sum(
-            len(name) + len(value) + len(": \r\n")
-            for name, value in head.headers
-        )
+        size = len(head.target)
+        headers: list[tuple[str, str]] = []
+        for raw_name, raw_value in head.headers.raw_items():
+            size += len(raw_name) + len(raw_value) + _HEADER_FRAMING_BYTES
+            headers.append(
+                (raw_name.decode("ascii").lower(), raw_value.decode("latin-1"))
+            )
         if size > self._limits.header_bytes:
             raise RequestRefusedError(
                 self.peer,
                 431,
                 f"the header block is over {self._limits.header_bytes} bytes",
             )
-
-    def _check_unambiguous(self, head: h11.Request) -> None:
-        """Rejects a request that another HTTP parser may read differently.
-
-        With two body lengths, what one parser takes for the body is a further
-        request to the other. With two keys, the parsers may attribute the
-        request to different callers.
-        """
-        names = [name for name, _ in head.headers]
-        if b"content-length" in names and b"transfer-encoding" in names:
+        names = [name for name, _ in headers]
+        if "content-length" in names and "transfer-encoding" in names:
             raise RequestRefusedError(
                 self.peer, 400, "a body has a length or is chunked, not both"
             )
-        if names.count(fields.AUTHORIZATION.encode()) > 1:
+        if names.count(fields.AUTHORIZATION) > 1:
             raise RequestRefusedError(
                 self.peer, 400, "a request has one Authorization field"
             )
+        return tuple(headers)
 
     async def _send_continue(self) -> None:
         interim = h11.InformationalResponse(status_code=100, headers=[])
@@ -277,7 +281,7 @@
     def _to_request(self) -> messages.Request | None:
         """Returns the parsed request, or None if the client has closed."""
         head = self._head
-        if head is None or self._connection.their_state is not h11.DONE:
+        if head is None or not self._is_complete:
             return None
         path = head.target.decode("latin-1")
         if not path.startswith("/"):
@@ -287,9 +291,6 @@
         return messages.Request(
             method=head.method.decode("ascii"),
             path=path,
-            headers=tuple(
-                (name.decode("ascii"), value.decode("latin-1"))
-                for name, value in head.headers
-            ),
+            headers=self._headers,
             body=bytes(self._body),
         )
