Refuse requests at a node whose own processor is full

Cause: a full node answers everything late: its readiness checks, responses on their way back, and calls whose callers have given up. The queue of its target stays short, so the level of the target does not show it.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -74,6 +74,7 @@
 ) -> messages.CallResponse:
     now = runtime.clock.now()
     runtime.retry_budget.count_request(call.service, now)
+    runtime.processor.record_call(call.context.rank)
     if runtime.is_shed(call):
         # Refused here, before a node of the service spends time on it.
         return messages.refusal(
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -124,6 +124,7 @@
     now = runtime.clock.now()
     received = call_messages.to_call(message, now)
     call = received.call
+    runtime.processor.record_call(call.context.rank)
     progress = progresses.Progress()
     response: messages.CallResponse | None = None
     with runtime.disconnects.watch(stream) as scope:
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -15,6 +15,8 @@
 from sassafras_node.mesh.peers import call_pools
 from sassafras_node.mesh.targets import local_target
 from sassafras_node.peers import target_tracking
+from sassafras_policy.admission import levels
+from sassafras_policy.admission import processor
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import roster as rosters
@@ -62,6 +64,7 @@
       call_pools: Connections for calls to other nodes.
       downstream_levels: Admission levels of downstream services; updated by
         responses.
+      processor: Admission level of this node's own processor.
       running_calls: Calls that the local target is running, by id.
       drain: Work in flight and planned stop.
       lease: Lease of this node's entry; 0 for none.
@@ -107,6 +110,7 @@
         self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
         self.call_pools = call_pools.CallPools()
         self.downstream_levels = downstream.DownstreamLevels()
+        self.processor = processor.ProcessorAdmission()
         self.running_calls: dict[str, calls.Call] = {}
         self.drain = drains.make_drain()
         self.is_leaving = False
@@ -186,7 +190,9 @@
             ),
             idle_timeout_s=limits.idle_timeout_s,
         )
-        self.target.set_class_count(_class_count(decoded))
+        class_count = _class_count(decoded)
+        self.target.set_class_count(class_count)
+        self.processor.resize(class_count)
         self.downstream_levels.keep_routes(
             frozenset(r.name for r in decoded.routes)
         )
@@ -268,8 +274,10 @@
         responses arrive.
         """
         gate = self.target.gate
+        now = self.clock.now()
+        own_level = min(gate.level, self.processor.level)
         return self.downstream_levels.min_level(
-            call.route, gate.level, gate.open_level, self.clock.now()
+            call.route, own_level, gate.open_level, now
         )
 
     def is_shed(self, call: calls.Call) -> bool:
@@ -279,12 +287,15 @@
         """
         if call.context.depth:
             return False
+        now = self.clock.now()
+        if levels.refuses(self.processor.level, call.context):
+            return True
         return self.downstream_levels.refuses(
             call.service,
             call.route,
             call.context,
             self.target.gate.open_level,
-            self.clock.now(),
+            now,
         )
 
     def publish_entry(self) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -1,9 +1,9 @@
 """The root of the supervisor tree of a mesh node.
 
 Children: `store`, `peers`, `targets` and `callers`, each a supervisor of its
-own, and `hangups`, which detects client disconnects. One that gives up is
-restarted here; when that happens too often the root gives up and the process
-exits with an error.
+own, `hangups`, which detects client disconnects, and `processor-lag`, which
+measures how full the node is. One that gives up is restarted here; when that
+happens too often the root gives up and the process exits with an error.
 """
 
 import functools
@@ -13,6 +13,7 @@
 from sassafras_base import events
 from sassafras_base import supervision
 from sassafras_node import listening
+from sassafras_node.mesh import processor_lag
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.callers import supervisor as callers
 from sassafras_node.mesh.peers import supervisor as peers
@@ -78,6 +79,7 @@
         "targets": functools.partial(targets.run, target_listener),
         "callers": functools.partial(callers.run, *caller_listeners),
         "hangups": runtime.disconnects.run,
+        "processor-lag": functools.partial(processor_lag.run, runtime),
     }
     try:
         async with trio.open_nursery() as nursery:
