Close a connection only after the client has read its last response

Cause: closing a socket with unread bytes resets the connection, so a client that pipelines, or sends a body that is refused, loses the response that is on its way. A body that is announced as too long was read before it was refused.

Change: a session that ends by a refusal or a planned stop ends its output, discards what still arrives for at most a second and a megabyte, and closes then. An announced length over the limit is refused with 413 at once. Requests to targets always carry a length.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -84,8 +84,11 @@
         with trio.CancelScope() as idle:
             while await _serve_next(runtime, stream, connection, handler, idle):
                 pass
+        if runtime.drain.is_draining:
+            await stream.close_gracefully()
     except http_server.RequestRefusedError as error:
         await _refuse(connection, refusal_formatter(error))
+        await stream.close_gracefully()
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The other side has disconnected.
         return
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -49,9 +49,6 @@
 
 ResponseMatcher = Callable[["Response"], Match]
 
-# With these, no length means an empty body.
-_METHODS_WITHOUT_BODY = frozenset(["GET", "HEAD", "DELETE", "OPTIONS"])
-
 # Used when the response has no `timeout` in a Keep-Alive field.
 _DEFAULT_KEEP_ALIVE_S = 60.0
 
@@ -325,9 +322,10 @@
 
     def _encode(self, request: messages.Request) -> bytes:
         """Returns a request as bytes; the parser then expects its response."""
-        headers = list(request.headers)
-        if request.body or request.method not in _METHODS_WITHOUT_BODY:
-            headers.append(("content-length", str(len(request.body))))
+        headers = [
+            *request.headers,
+            ("content-length", str(len(request.body))),
+        ]
         if request.header("host") is None:
             headers.insert(0, ("host", self.peer))
         head = h11.Request(
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -264,6 +264,10 @@
                 f"the header block is over {self._limits.header_bytes} bytes",
             )
         names = [name for name, _ in headers]
+        lengths = [value for name, value in headers if name == "content-length"]
+        # The parser accepts only digits as a length.
+        if lengths and int(lengths[0]) > self._limits.body_bytes:
+            raise self._body_too_large()
         if "content-length" in names and "transfer-encoding" in names:
             raise RequestRefusedError(
                 self.peer, 400, "a body has a length or is chunked, not both"
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -19,6 +19,10 @@
 # Connections that are accepted before other tasks run again.
 _MAX_ACCEPTED_AT_ONCE = 16
 
+# Limits what a client that goes on sending can take of a closing connection.
+_CLOSE_TIMEOUT_S = 1.0
+_MAX_DISCARDED_BYTES = 1024 * 1024
+
 # A network partition causes neither a reset nor an end of the connection. With
 # these, a connection without acknowledgements fails within about 3 s.
 _USER_TIMEOUT_MS = 3000
@@ -170,6 +174,27 @@
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
 
+    async def close_gracefully(self) -> None:
+        """Closes the connection after the other side, within a second.
+
+        Closing a socket with unread bytes resets the connection, and the other
+        side loses the response that is on its way. So this side ends its
+        output first and discards what still arrives.
+        """
+        discarded = 0
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+            with trio.move_on_after(_CLOSE_TIMEOUT_S):
+                while discarded < _MAX_DISCARDED_BYTES:
+                    data = await self.receive_some()
+                    if not data:
+                        break
+                    discarded += len(data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The other side has reset the connection, so nothing can be lost.
+            pass
+        self.close()
+
     async def _wait_readable(self) -> None:
         if self._socket.fileno() < 0:
             raise trio.ClosedResourceError("this side has closed the socket")
