Time calls out without a scope for each, and log fewer sub-calls

Cause: a cancel scope takes 8 to 12 us, and a call of two nodes used six of them. A successful sub-call wrote a log line, which was a fifteenth of its first node's time, and the lines displaced those of failures at 500 lines a second.

Change: a monitor closes the connection of an exchange whose deadline passes, which its end had to do anyway, so the exchange needs no scope; idle timeouts work the same way. A session has one scope for all its requests. A wait for a connection of a full pool ends at the deadline. A sub-call that its first target answered is counted and not logged. The bucket of a sub-call is not computed when its parent's is used, and a choice looks at two targets of the zone.

Ruled out: system calls.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import math
 from typing import Protocol
 
 import trio
@@ -10,6 +9,7 @@
 from sassafras_node import drain as drains
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
+from sassafras_wire.http import deadlines
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
 from sassafras_wire.http import sockets
@@ -39,6 +39,11 @@
         """Detects clients that disconnect while they are served."""
         ...
 
+    @property
+    def idle_deadlines(self) -> deadlines.DeadlineMonitor:
+        """Closes connections that are idle for too long."""
+        ...
+
     @property
     def drain(self) -> drains.Drain:
         """Work in flight and planned stop."""
@@ -80,9 +85,10 @@
         stream, peer, runtime.http_limits, runtime.body_budget, format_headers
     )
     try:
-        # One scope for all waits: a scope costs as much as a system call.
-        with trio.CancelScope() as idle:
-            while await _serve_next(runtime, stream, connection, handler, idle):
+        with runtime.disconnects.watch(stream) as watch:
+            while await _serve_next(
+                runtime, stream, connection, handler, watch
+            ):
                 pass
         if runtime.drain.is_draining:
             await stream.close_gracefully()
@@ -92,6 +98,8 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The other side has disconnected.
         return
+    finally:
+        runtime.idle_deadlines.clear(stream)
 
 
 async def _serve_next(
@@ -99,13 +107,15 @@
     stream: sockets.SocketStream,
     connection: http_server.ServerConnection,
     handler: Handler,
-    idle: trio.CancelScope,
+    watch: disconnects.Watch,
 ) -> bool:
     """Serves one request; returns False when the connection has ended."""
-    idle.deadline = trio.current_time() + runtime.http_limits.idle_timeout_s
-    if not await connection.await_request() or idle.cancel_called:
+    runtime.idle_deadlines.set(
+        stream, trio.current_time() + runtime.http_limits.idle_timeout_s
+    )
+    if not await connection.await_request():
         return False
-    idle.deadline = math.inf
+    runtime.idle_deadlines.clear(stream)
     runtime.drain.enter()
     try:
         request = await connection.receive()
@@ -114,11 +124,9 @@
         # A full node reads a request long after it has arrived.
         if stream.is_disconnected():
             return False
-        response: messages.CallResponse | None = None
-        with runtime.disconnects.watch(stream):
-            response = await handler(request)
-        if response is None:
-            return False
+        watch.start()
+        response = await handler(request)
+        watch.stop()
         await connection.send(response, close=runtime.drain.is_draining)
         return True
     finally:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-import trio
-
 from sassafras_base import errors
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import local
@@ -24,7 +22,7 @@
 # reached its target, so it uses nothing of the shared budget.
 _MAX_REFUSALS = 2
 # Targets of the zone that a choice compares while one of them has room.
-_SAMPLE_SIZE = 4
+_SAMPLE_SIZE = 2
 # A second execution is of no use with less time left.
 _MIN_REMAINING_S = 0.05
 
@@ -52,12 +50,7 @@
     runtime: runtimes.Runtime, call: calls.Call, history: SendHistory
 ) -> messages.CallResponse:
     """Returns the response of a target, or why there is none."""
-    remaining_s = call.context.deadline - runtime.clock.now()
-    response: messages.CallResponse | None = None
-    with trio.move_on_after(max(0.0, remaining_s + _PEER_GRACE_S)):
-        response = await _send_until_final(runtime, call, history)
-    if response is None:
-        return local.deadline_passed(history.progress)
+    response = await _send_until_final(runtime, call, history)
     if (
         response.outcome is outcomes.Outcome.NOT_RUN
         and history.progress.may_have_run
@@ -220,18 +213,25 @@
     tracker.started(entry.node_id)
     try:
         reply = await runtime.call_pools.exchange(
-            entry.call_address, request, progress
+            entry.call_address,
+            request,
+            progress,
+            call.context.deadline + _PEER_GRACE_S,
         )
         response = call_messages.to_response(reply, call.service)
-    except errors.UnreachableError as error:
+    except errors.SassafrasError as error:
+        if runtime.clock.now() >= call.context.deadline:
+            return local.deadline_passed(progress)
         tracker.record_failure(entry.node_id)
-        return messages.refusal(outcomes.Reason.UNREACHABLE, 503, str(error))
-    except (errors.ConnectionLostError, errors.ProtocolError) as error:
-        tracker.record_failure(entry.node_id)
-        return messages.unknown(
-            outcomes.Reason.CONNECTION_LOST, 502, str(error)
-        )
+        return _failure(error)
     finally:
         tracker.finished(entry.node_id)
     tracker.record_response(entry.node_id, response)
     return response
+
+
+def _failure(error: errors.SassafrasError) -> messages.CallResponse:
+    """Returns the response to a call that its peer did not answer."""
+    if isinstance(error, errors.UnreachableError):
+        return messages.refusal(outcomes.Reason.UNREACHABLE, 503, str(error))
+    return messages.unknown(outcomes.Reason.CONNECTION_LOST, 502, str(error))
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -148,20 +148,36 @@
         priority = organisation.priority
     name = organisation.account.name if organisation else ""
     service = runtime.routing.service_for(route)
+    deadline = now + time_limit_s - _RESPONSE_MARGIN_S
+    depth = 0
+    bucket: int | None = None
+    if organisation is None:
+        # Without an organisation it is a sub-call, as only targets use routes
+        # that need no key.
+        depth = 1
+        parent = _find_parent(runtime, caller_request, route, service)
+        if parent is not None:
+            # With the rank of its own route, a downstream service could not
+            # tell the calls of a settlement from those of a status check, and
+            # refused both entirely.
+            priority = parent.context.priority
+            bucket = parent.context.bucket
+            deadline = min(deadline, parent.context.deadline)
+            depth = parent.context.depth + 1
+    if bucket is None:
+        bucket = (
+            hashing.stable_hash(caller_request.request_id)
+            % messages.BUCKET_COUNT
+        )
     context = messages.CallContext(
         root_id=caller_request.request_id,
         organisation=name,
         priority=priority,
-        bucket=hashing.stable_hash(caller_request.request_id)
-        % messages.BUCKET_COUNT,
-        deadline=now + time_limit_s - _RESPONSE_MARGIN_S,
-        # Without an organisation it is a sub-call, as only targets use routes
-        # that need no key.
-        depth=int(organisation is None),
+        bucket=bucket,
+        deadline=deadline,
+        depth=depth,
         at_most_once=not route.is_idempotent,
     )
-    if organisation is None:
-        context = _with_parent(runtime, caller_request, route, service, context)
     return calls.Call(
         request=caller_request.request,
         request_id=caller_request.request_id,
@@ -175,34 +191,22 @@
     )
 
 
-def _with_parent(
+def _find_parent(
     runtime: runtimes.Runtime,
     caller_request: interfaces.CallerRequest,
     route: configuration.Route,
     service: str,
-    context: messages.CallContext,
-) -> messages.CallContext:
-    """Returns the context of a sub-call of the local target.
-
-    It has the rank of its parent request: with the rank of its own route, a
-    downstream service could not tell the calls of a settlement from those of
-    a status check, and refused both entirely.
-    """
+) -> calls.Call | None:
+    """Returns the request that made a sub-call, and records which it calls."""
     parent = runtime.running_calls.get(caller_request.parent_id)
-    if parent is None:
-        for running in runtime.running_calls.values():
-            runtime.downstream_levels.record_call(
-                running.route, service, route.name
-            )
-        return context
-    runtime.downstream_levels.record_call(parent.route, service, route.name)
-    return dataclasses.replace(
-        context,
-        priority=parent.context.priority,
-        bucket=parent.context.bucket,
-        deadline=min(context.deadline, parent.context.deadline),
-        depth=parent.context.depth + 1,
+    parents = (
+        list(runtime.running_calls.values()) if parent is None else [parent]
     )
+    for running in parents:
+        runtime.downstream_levels.record_call(
+            running.route, service, route.name
+        )
+    return parent
 
 
 def _refusal_unless_outdated(
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -89,6 +89,7 @@
             ),
             progress,
             lambda response: front_end.match_response(call, response),
+            call.context.deadline,
         )
         target_response = front_end.read_target_response(response)
         if not target_response.ran:
@@ -110,16 +111,10 @@
             body=response.body,
             sub_call_failed=runtime.sub_call_failed_at >= started,
         )
-    except errors.UnreachableError as error:
-        return messages.refusal(outcomes.Reason.UNREACHABLE, 503, str(error))
-    except errors.ConnectionLostError as error:
-        return messages.unknown(
-            outcomes.Reason.CONNECTION_LOST, 502, str(error)
-        )
-    except errors.ProtocolError as error:
-        return messages.unknown(
-            outcomes.Reason.TARGET_PROTOCOL, 502, str(error)
-        )
+    except errors.SassafrasError as error:
+        if runtime.clock.now() >= call.context.deadline:
+            return deadline_passed(progress)
+        return _failure(error)
     finally:
         runtime.running_calls.pop(call.request_id, None)
         if succeeded:
@@ -128,6 +123,17 @@
             gate.leave_with_error()
 
 
+def _failure(error: errors.SassafrasError) -> messages.CallResponse:
+    """Returns the response to a call that the target did not answer."""
+    if isinstance(error, errors.UnreachableError):
+        return messages.refusal(outcomes.Reason.UNREACHABLE, 503, str(error))
+    if isinstance(error, errors.ConnectionLostError):
+        return messages.unknown(
+            outcomes.Reason.CONNECTION_LOST, 502, str(error)
+        )
+    return messages.unknown(outcomes.Reason.TARGET_PROTOCOL, 502, str(error))
+
+
 def deadline_passed(progress: progresses.Progress) -> messages.CallResponse:
     """Returns the response to a call that was ended at its deadline."""
     if progress.may_have_run:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/request_log.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/request_log.py
@@ -41,13 +41,23 @@
     response: messages.CallResponse,
     started: float,
 ) -> None:
-    """Logs and counts how a request ended."""
+    """Logs and counts how a request ended.
+
+    A sub-call that its first target answered is only counted: a root request
+    makes ten of them, and their log lines would displace those of failures.
+    """
     elapsed_s = runtime.clock.now() - started
     runtime.measurements.count(
         "requests", str(response.reason or response.outcome)
     )
     if call is not None and response.outcome is outcomes.Outcome.RAN:
         runtime.measurements.observe(call.service, elapsed_s)
+        if (
+            call.context.depth
+            and response.status < 500
+            and len(history.tried) == 1
+        ):
+            return
     age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
     request_ended(
         caller_request.request_id,
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_pools.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_pools.py
@@ -3,6 +3,7 @@
 import functools
 
 from sassafras_policy.calls import progress as progresses
+from sassafras_wire.http import deadlines
 from sassafras_wire.http import pool
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
@@ -17,7 +18,9 @@
 class CallPools:
     """One pool for each address of a node."""
 
-    def __init__(self) -> None:
+    def __init__(self, monitor: deadlines.DeadlineMonitor) -> None:
+        """Creates pools whose exchanges a monitor ends at their deadlines."""
+        self._monitor = monitor
         self._pools: dict[str, pool.Pool[call_connection.CallConnection]] = {}
 
     async def exchange(
@@ -25,6 +28,7 @@
         address: str,
         call: call_messages.CallMessage,
         progress: progresses.Progress,
+        deadline: float,
     ) -> call_messages.AnswerMessage:
         """Sends a call; raises as `CallConnection.exchange` does."""
         connections = self._pools.get(address)
@@ -36,10 +40,11 @@
                     _CONNECT_TIMEOUT_S,
                 ),
                 _MAX_CONNECTIONS,
+                self._monitor,
             )
             self._pools[address] = connections
         return await connections.use(
-            lambda connection: connection.exchange(call, progress)
+            lambda connection: connection.exchange(call, progress), deadline
         )
 
     async def drop(self, address: str) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -1,7 +1,5 @@
 """Serves the calls that another node sends on one connection."""
 
-import math
-
 import trio
 
 from sassafras_base import errors
@@ -11,6 +9,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
+from sassafras_wire.http import disconnects
 from sassafras_wire.http import sockets
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
@@ -52,28 +51,32 @@
         stream, peer, call_connection.MAX_MESSAGE_BYTES
     )
     try:
-        with trio.CancelScope() as idle:
-            while await _serve_next(runtime, stream, connection, idle):
+        with runtime.disconnects.watch(stream) as watch:
+            while await _serve_next(runtime, stream, connection, watch):
                 pass
     except (errors.ConnectionLostError, errors.UnreachableError):
         # The other node has closed it, so its calls have ended there.
         return
     except errors.ProtocolError as error:
         call_unreadable(peer, str(error))
+    finally:
+        runtime.idle_deadlines.clear(stream)
 
 
 async def _serve_next(
     runtime: runtimes.Runtime,
     stream: sockets.SocketStream,
     connection: frames.FrameStream,
-    idle: trio.CancelScope,
+    watch: disconnects.Watch,
 ) -> bool:
     """Serves one call; returns False when no other call may follow."""
-    idle.deadline = trio.current_time() + call_connection.IDLE_TIMEOUT_S
+    runtime.idle_deadlines.set(
+        stream, trio.current_time() + call_connection.IDLE_TIMEOUT_S
+    )
     message = await connection.receive()
-    if message is None or idle.cancel_called:
+    if message is None:
         return False
-    idle.deadline = math.inf
+    runtime.idle_deadlines.clear(stream)
     if not isinstance(message, call_messages.CallMessage):
         raise errors.ProtocolError(
             "peer.call", connection.peer, f"{message.type!r} is not a call"
@@ -86,7 +89,9 @@
         return await _send_response(runtime, connection, _out_of_memory())
     runtime.drain.enter()
     try:
-        response = await _handle(runtime, stream, message, connection.peer)
+        watch.start()
+        response = await _handle(runtime, message, connection.peer)
+        watch.stop()
         return await _send_response(runtime, connection, response)
     finally:
         runtime.body_budget.release(body_bytes)
@@ -116,26 +121,15 @@
 
 
 async def _handle(
-    runtime: runtimes.Runtime,
-    stream: sockets.SocketStream,
-    message: call_messages.CallMessage,
-    peer: str,
+    runtime: runtimes.Runtime, message: call_messages.CallMessage, peer: str
 ) -> messages.CallResponse:
     now = runtime.clock.now()
     received = call_messages.to_call(message, now)
     call = received.call
     runtime.processor.record_call(call.context.rank)
-    progress = progresses.Progress()
-    response: messages.CallResponse | None = None
-    with runtime.disconnects.watch(stream) as scope:
-        # A busy node may read a call after its deadline has passed.
-        scope.deadline = trio.current_time() + call.context.deadline - now
-        response = await local.serve(
-            runtime, call, received.target_id, progress
-        )
-    if response is None:
-        # After a disconnect nobody receives it.
-        response = local.deadline_passed(progress)
+    response = await local.serve(
+        runtime, call, received.target_id, progresses.Progress()
+    )
     runtime.measurements.count(
         "calls", str(response.reason or response.outcome)
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -28,6 +28,7 @@
 from sassafras_policy.mesh import retry_budget
 from sassafras_policy.mesh import routing
 from sassafras_policy.mesh import targets
+from sassafras_wire.http import deadlines
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import link as links
@@ -40,6 +41,10 @@
 # and its libraries take about 50 MB of that limit.
 _BODY_MEMORY_SHARE = 0.2
 
+# Timeouts of calls and of idle connections may be late by these intervals.
+_CALL_DEADLINE_INTERVAL_S = 0.02
+_IDLE_DEADLINE_INTERVAL_S = 1.0
+
 # Bounds the task that opens a link; requests wait for tokens for less.
 _LIMIT_CONNECT_TIMEOUT_S = 0.5
 
@@ -80,6 +85,8 @@
       http_limits: Bounds on requests.
       body_budget: Bytes of request bodies held by all connections.
       disconnects: Detects clients that disconnect while they are served.
+      call_deadlines: Ends exchanges with targets and nodes at their deadlines.
+      idle_deadlines: Closes connections that are idle for too long.
     """
 
     def __init__(
@@ -97,7 +104,15 @@
         self.document = b""
         self.freshness = freshness.Freshness(settings.bounds.revocation_s)
         self.fleet = fleets.Fleet(settings.host.node_id, _ENTRY_REWRITE_S)
-        self.target = local_target.LocalTarget(settings, clock)
+        self.call_deadlines = deadlines.DeadlineMonitor(
+            _CALL_DEADLINE_INTERVAL_S
+        )
+        self.idle_deadlines = deadlines.DeadlineMonitor(
+            _IDLE_DEADLINE_INTERVAL_S
+        )
+        self.target = local_target.LocalTarget(
+            settings, clock, self.call_deadlines
+        )
         self.target_tracker = target_tracking.TargetTracker(clock)
         factory = balancers.balancers.get(settings.policy.balancer)
         self.balancer = factory(rng)  # type: ignore[call-arg]
@@ -108,7 +123,7 @@
         )
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
         self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
-        self.call_pools = call_pools.CallPools()
+        self.call_pools = call_pools.CallPools(self.call_deadlines)
         self.downstream_levels = downstream.DownstreamLevels()
         self.processor = processor.ProcessorAdmission()
         self.running_calls: dict[str, calls.Call] = {}
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -1,9 +1,11 @@
 """The root of the supervisor tree of a mesh node.
 
 Children: `store`, `peers`, `targets` and `callers`, each a supervisor of its
-own, `hangups`, which detects client disconnects, and `processor-lag`, which
-measures how full the node is. One that gives up is restarted here; when that
-happens too often the root gives up and the process exits with an error.
+own, `hangups`, which detects client disconnects, `call-deadlines` and
+`idle-deadlines`, which close connections that wait for too long, and
+`processor-lag`, which measures how full the node is. One that gives up is
+restarted here; when that happens too often the root gives up and the process
+exits with an error.
 """
 
 import functools
@@ -79,6 +81,8 @@
         "targets": functools.partial(targets.run, target_listener),
         "callers": functools.partial(callers.run, *caller_listeners),
         "hangups": runtime.disconnects.run,
+        "call-deadlines": runtime.call_deadlines.run,
+        "idle-deadlines": runtime.idle_deadlines.run,
         "processor-lag": functools.partial(processor_lag.run, runtime),
     }
     try:
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -5,6 +5,7 @@
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import policies
 from sassafras_policy.mesh import targets
+from sassafras_wire.http import deadlines
 from sassafras_wire.http import pool
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -24,8 +25,12 @@
     """
 
     def __init__(
-        self, settings: mesh_settings.MeshSettings, clock: clocks.Clock
+        self,
+        settings: mesh_settings.MeshSettings,
+        clock: clocks.Clock,
+        monitor: deadlines.DeadlineMonitor,
     ) -> None:
+        self._monitor = monitor
         self._settings = settings
         self._clock = clock
         self._register = targets.LocalTargetRegister()
@@ -108,4 +113,5 @@
             size=self._settings.resources.descriptors // 4,
             body_limit=_BODY_LIMIT,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
+            monitor=self._monitor,
         )
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -33,6 +33,7 @@
 from sassafras_policy.retries import backoff
 from sassafras_policy.retries import guard
 from sassafras_policy.retries import policies as retry_policies
+from sassafras_wire.http import deadlines
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
 from sassafras_wire.peer import authentication
@@ -40,6 +41,9 @@
 from sassafras_wire.settings import node as node_settings
 from sassafras_wire.store import client as store_client
 
+# The timeout of an idle connection may be late by this interval.
+_IDLE_DEADLINE_INTERVAL_S = 1.0
+
 
 class Runtime:
     """State that the tasks of one node share.
@@ -79,6 +83,7 @@
       http_limits: Bounds on requests.
       body_budget: Bytes of request bodies held by all connections.
       disconnects: Detects callers that disconnect while they are served.
+      idle_deadlines: Closes connections that are idle for too long.
     """
 
     def __init__(
@@ -126,6 +131,9 @@
         self.drain = drains.make_drain()
         http = settings.http
         self.disconnects = disconnects.DisconnectMonitor()
+        self.idle_deadlines = deadlines.DeadlineMonitor(
+            _IDLE_DEADLINE_INTERVAL_S
+        )
         self.body_budget = http_server.BodyBudget(http.buffered_bytes)
         self.http_limits = http_server.ServerLimits(
             header_bytes=http.header_bytes,
--- a/packages/sassafras-node/src/sassafras_node/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/supervisor.py
@@ -1,9 +1,10 @@
 """The root of the supervisor tree.
 
 Children: `store`, `peers`, `membership`, `limits`, `targets`, `callers` and
-`admin`, each a supervisor of its own, and `hangups`, which detects callers that
-disconnect. A child that gives up is restarted here; when that happens too often
-the root gives up and the process exits with an error.
+`admin`, each a supervisor of its own, `hangups`, which detects callers that
+disconnect, and `idle-deadlines`, which closes idle connections. A child that
+gives up is restarted here; when that happens too often the root gives up and
+the process exits with an error.
 """
 
 import functools
@@ -76,6 +77,7 @@
         ("callers", functools.partial(callers.run, runtime, caller_listener)),
         ("admin", functools.partial(admin.run, runtime, admin_listener)),
         ("hangups", runtime.disconnects.run),
+        ("idle-deadlines", runtime.idle_deadlines.run),
     ]
     try:
         async with trio.open_nursery() as nursery:
--- a/packages/sassafras-standins/src/sassafras_standins/serving.py
+++ b/packages/sassafras-standins/src/sassafras_standins/serving.py
@@ -57,8 +57,9 @@
         stream, "client", http_server.ServerLimits(idle_timeout_s=600)
     )
     try:
-        while await _serve_next(stream, connection, handler, watcher):
-            pass
+        with watcher.watch(stream) as watch:
+            while await _serve_next(connection, handler, watch):
+                pass
     except (
         http_server.RequestRefusedError,
         trio.BrokenResourceError,
@@ -70,10 +71,9 @@
 
 
 async def _serve_next(
-    stream: sockets.SocketStream,
     connection: http_server.ServerConnection,
     handler: Handler,
-    watcher: disconnects.DisconnectMonitor,
+    watch: disconnects.Watch,
 ) -> bool:
     """Serves one request; cancels the handler if the client disconnects.
 
@@ -84,10 +84,8 @@
     request = await connection.receive()
     if request is None:
         return False
-    response: messages.CallResponse | None = None
-    with watcher.watch(stream):
-        response = await handler(request)
-    if response is None:
-        return False
+    watch.start()
+    response = await handler(request)
+    watch.stop()
     await connection.send(response)
     return True
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -130,6 +130,11 @@
         stream.enable_keepalive()
         return cls(stream, address, step, body_limit)
 
+    @property
+    def transport(self) -> trio.abc.Stream:
+        """The connection's socket."""
+        return self._stream
+
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent."""
--- /dev/null
+++ b/packages/sassafras-wire/src/sassafras_wire/http/deadlines.py
@@ -0,0 +1,54 @@
+"""Closes connections whose wait has lasted too long."""
+
+import trio
+
+from sassafras_wire.http import sockets
+
+
+class DeadlineMonitor:
+    """Closes each connection whose deadline passes.
+
+    A connection on which a wait has timed out cannot be used again, so closing
+    it is all that a timeout has to do; the task that waits gets the same error
+    as after a lost connection. A cancel scope for each wait would take a tenth
+    of the processor time of a call.
+    """
+
+    def __init__(self, interval_s: float) -> None:
+        """Creates a monitor without connections.
+
+        Args:
+          interval_s: Time between two checks, by which a timeout may be late.
+        """
+        self._interval_s = interval_s
+        self._deadlines: dict[sockets.SocketStream, float] = {}
+        self._has_deadlines = trio.Event()
+
+    async def run(self) -> None:
+        """Checks the deadlines until cancelled."""
+        while True:
+            await self._has_deadlines.wait()
+            await trio.sleep(self._interval_s)
+            self._close_overdue()
+            if not self._deadlines:
+                self._has_deadlines = trio.Event()
+
+    def set(self, stream: sockets.SocketStream, deadline: float) -> None:
+        """Closes a connection at a time on trio's clock, unless cleared."""
+        self._deadlines[stream] = deadline
+        self._has_deadlines.set()
+
+    def clear(self, stream: sockets.SocketStream) -> None:
+        """Removes the deadline of a connection."""
+        self._deadlines.pop(stream, None)
+
+    def _close_overdue(self) -> None:
+        now = trio.current_time()
+        overdue = [
+            stream
+            for stream, deadline in self._deadlines.items()
+            if deadline <= now
+        ]
+        for stream in overdue:
+            del self._deadlines[stream]
+            stream.close()
--- a/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/disconnects.py
@@ -2,6 +2,7 @@
 
 import select
 import types
+from typing import Self
 
 import trio
 
@@ -34,7 +35,7 @@
                 self._has_streams = trio.Event()
 
     def watch(self, stream: sockets.SocketStream) -> "Watch":
-        """Returns a context whose body a disconnect of the client cancels."""
+        """Returns a context for the session of a connection."""
         return Watch(self, stream.fileno())
 
     def add(self, descriptor: int, scope: trio.CancelScope) -> None:
@@ -54,20 +55,20 @@
 
 
 class Watch:
-    """A cancel scope that ends when the client disconnects.
+    """Ends a session when its client disconnects during a request.
 
-    The caller may give the scope a deadline, which saves a second scope.
+    The context spans the session, so that its requests share one scope.
     """
 
     def __init__(self, monitor: DisconnectMonitor, descriptor: int) -> None:
         self._monitor = monitor
         self._descriptor = descriptor
         self._scope = trio.CancelScope()
+        self._is_active = False
 
-    def __enter__(self) -> trio.CancelScope:
+    def __enter__(self) -> Self:
         self._scope.__enter__()
-        self._monitor.add(self._descriptor, self._scope)
-        return self._scope
+        return self
 
     def __exit__(
         self,
@@ -75,5 +76,16 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> bool | None:
-        self._monitor.remove(self._descriptor)
+        self.stop()
         return self._scope.__exit__(kind, error, traceback)
+
+    def start(self) -> None:
+        """Watches the client from now on."""
+        self._monitor.add(self._descriptor, self._scope)
+        self._is_active = True
+
+    def stop(self) -> None:
+        """Stops watching; a session that waits for a request reads itself."""
+        if self._is_active:
+            self._is_active = False
+            self._monitor.remove(self._descriptor)
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import functools
+import math
 from typing import Generic
 from typing import Protocol
 from typing import TypeVar
@@ -13,11 +14,18 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
 from sassafras_wire.http import client
+from sassafras_wire.http import deadlines
+from sassafras_wire.http import sockets
 
 
 class Connection(Protocol):
     """A connection that carries one exchange at a time."""
 
+    @property
+    def transport(self) -> trio.abc.AsyncResource:
+        """The connection's socket."""
+        ...
+
     @property
     def is_reusable(self) -> bool:
         """Whether another exchange may follow."""
@@ -39,26 +47,42 @@
 class Pool(Generic[C]):
     """Keeps idle connections to one server and limits those in use."""
 
-    def __init__(self, connect: Callable[[], Awaitable[C]], size: int) -> None:
+    def __init__(
+        self,
+        connect: Callable[[], Awaitable[C]],
+        size: int,
+        monitor: deadlines.DeadlineMonitor | None = None,
+    ) -> None:
         """Creates an empty pool.
 
         Args:
           connect: Opens a connection; raises UnreachableError.
           size: Maximum number in use; further exchanges wait.
+          monitor: Ends exchanges at their deadlines; None where none has one.
         """
         self._connect = connect
+        self._monitor = monitor
         self._idle: list[C] = []
         self._permits = trio.Semaphore(size, max_value=size)
 
-    async def use(self, exchange: Callable[[C], Awaitable[R]]) -> R:
+    async def use(
+        self,
+        exchange: Callable[[C], Awaitable[R]],
+        deadline: float = math.inf,
+    ) -> R:
         """Runs an exchange on an idle or a new connection.
 
         A kept-alive connection that the server closed before anything was
         sent on it is replaced; that does not count as a second attempt.
 
+        Args:
+          exchange: Sends a request on the connection and returns its response.
+          deadline: When the exchange ends at the latest, on trio's clock.
+
         Raises:
           UnreachableError: No connection could be opened; nothing was sent.
-          ConnectionLostError: The connection ended after sending began.
+          ConnectionLostError: The connection ended after sending began, or the
+            deadline passed.
           ProtocolError: The server broke the protocol.
         """
         try:
@@ -66,9 +90,9 @@
             # always free.
             self._permits.acquire_nowait()
         except trio.WouldBlock:
-            await self._permits.acquire()
+            await _before(deadline, self._permits.acquire)
         try:
-            return await self._use(exchange)
+            return await self._use(exchange, deadline)
         finally:
             self._permits.release()
 
@@ -77,12 +101,15 @@
         while self._idle:
             await self._idle.pop().close()
 
-    async def _use(self, exchange: Callable[[C], Awaitable[R]]) -> R:
+    async def _use(
+        self, exchange: Callable[[C], Awaitable[R]], deadline: float
+    ) -> R:
         while True:
             connection = await self._take_idle()
             is_new = connection is None
             if connection is None:
-                connection = await self._connect()
+                connection = await _before(deadline, self._connect)
+            self._set_deadline(connection, deadline)
             try:
                 result = await exchange(connection)
             except errors.UnreachableError:
@@ -93,6 +120,8 @@
             except BaseException:
                 await connection.close()
                 raise
+            finally:
+                self._clear_deadline(connection)
             if connection.is_reusable:
                 self._idle.append(connection)
             else:
@@ -107,6 +136,29 @@
             await connection.close()
         return None
 
+    def _set_deadline(self, connection: C, deadline: float) -> None:
+        stream = connection.transport
+        if self._monitor is not None and isinstance(
+            stream, sockets.SocketStream
+        ):
+            self._monitor.set(stream, deadline)
+
+    def _clear_deadline(self, connection: C) -> None:
+        stream = connection.transport
+        if self._monitor is not None and isinstance(
+            stream, sockets.SocketStream
+        ):
+            self._monitor.clear(stream)
+
+
+async def _before(deadline: float, wait: Callable[[], Awaitable[R]]) -> R:
+    """Waits until a deadline; raises UnreachableError when it passes."""
+    with trio.CancelScope(deadline=deadline):
+        return await wait()
+    raise errors.UnreachableError(
+        "pool.connect", "", "the deadline passed before a connection was free"
+    )
+
 
 class ConnectionPool:
     """HTTP/1.1 connections to one server."""
@@ -119,6 +171,7 @@
         size: int,
         body_limit: int,
         connect_timeout_s: float,
+        monitor: deadlines.DeadlineMonitor | None = None,
     ) -> None:
         self._pool = Pool(
             functools.partial(
@@ -129,6 +182,7 @@
                 connect_timeout_s,
             ),
             size,
+            monitor,
         )
 
     async def exchange(
@@ -136,6 +190,7 @@
         request: messages.Request,
         progress: progresses.Progress | None = None,
         match: client.ResponseMatcher | None = None,
+        deadline: float = math.inf,
     ) -> client.Response:
         """Sends a request on a pooled connection; raises as `Pool.use`.
 
@@ -143,9 +198,11 @@
           request: The request.
           progress: Marked when the socket has accepted the first byte.
           match: Returns whether a response is for the request.
+          deadline: When the exchange ends at the latest, on trio's clock.
         """
         return await self._pool.use(
-            lambda connection: connection.exchange(request, progress, match)
+            lambda connection: connection.exchange(request, progress, match),
+            deadline,
         )
 
     async def close(self) -> None:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
@@ -25,6 +25,7 @@
 
     def __init__(self, stream: sockets.SocketStream, address: str) -> None:
         self._address = address
+        self._stream = stream
         self._frames = frames.FrameStream(stream, address, MAX_MESSAGE_BYTES)
         self._is_reusable = True
         self._reuse_until = 0.0
@@ -38,6 +39,11 @@
         """
         return cls(await client.open_stream(address, _STEP, timeout_s), address)
 
+    @property
+    def transport(self) -> sockets.SocketStream:
+        """The connection's socket."""
+        return self._stream
+
     @property
     def is_reusable(self) -> bool:
         """Whether another call may be sent."""
--- a/tests/common/call_nodes.py
+++ b/tests/common/call_nodes.py
@@ -138,6 +138,7 @@
             self._nursery.start_soon(listener.accept)
         self._nursery.start_soon(runtime.peer_pools.run_readers)
         self._nursery.start_soon(runtime.disconnects.run)
+        self._nursery.start_soon(runtime.idle_deadlines.run)
         if service:
             await runtime.target.announce(
                 records.Announcement(
--- a/tests/mesh/test_call_connections.py
+++ b/tests/mesh/test_call_connections.py
@@ -201,7 +201,8 @@
         watcher = disconnects.DisconnectMonitor()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watcher.run)
-            with watcher.watch(stream):
+            with watcher.watch(stream) as watch:
+                watch.start()
                 await trio.sleep_forever()
             ended.set()
             nursery.cancel_scope.cancel()
