Let one node of each zone read the store for the others

Cause: each node watched the configuration, at 0.6 calls a second, and the entries of all nodes, at one call for each batch of changes; after a failed renewal it took a new lease and wrote again.

Change: the nodes of a zone order themselves by a hash, without those that are not reached or do not reach the store; the first one watches the store and sends changes to those that ask it. Proofs of the configuration come with the responses to pings. A node whose proof grows too old reads itself, candidates first. Entries carry a number, so that a relayed one does not replace a newer one. A lease is renewed after an outage before a new one is taken. Rates that are pooled whole no longer send their demand with each ping, and pings to nodes other than the candidates are limited to 20 a second.

Ruled out: pings and waits of 0.6 s without sending changes at once.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -6,16 +6,16 @@
 from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import configuration
+from sassafras_node.mesh.store import members
 from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import link as links
 
 _CONNECT_TIMEOUT_S = 1.0
-# Short enough that a node that the store rejects learns of a withdrawn key in
-# time. A ping costs two small messages, for each pair of nodes.
-_PING_INTERVAL_S = 2.0
 _RESPONSE_TIMEOUT_S = 1.5
 _MIN_RETRY_S = 0.2
+# Delay until a link notices that its ping interval has changed.
+_MAX_WAIT_S = 1.0
 _MAX_RETRY_S = 1.0
 
 
@@ -35,6 +35,7 @@
     """Keeps a control link to a node until cancelled."""
     retry_s = _MIN_RETRY_S
     reported = False
+    runtime.unusable_readers.add(entry.node_id)
     while True:
         try:
             async with trio.open_nursery() as nursery:
@@ -42,17 +43,18 @@
                     nursery, entry.link_address, _CONNECT_TIMEOUT_S
                 )
                 try:
-                    await _ping(runtime, link)
+                    await _ping(runtime, link, entry.node_id)
                     node_reached(entry.node_id)
                     reported = False
                     retry_s = _MIN_RETRY_S
-                    await _ping_and_receive(runtime, link)
+                    await _ping_and_receive(runtime, link, entry.node_id)
                 finally:
                     with trio.CancelScope(shield=True):
                         await link.abort()
                     nursery.cancel_scope.cancel()
         except* (errors.SassafrasError, trio.TooSlowError) as group:
             error = group.exceptions[0]
+            runtime.unusable_readers.add(entry.node_id)
             runtime.target_tracker.record_failure(entry.node_id)
             if not reported:
                 node_unreachable(entry.node_id, str(error) or "silent")
@@ -62,24 +64,36 @@
 
 
 async def _ping_and_receive(
-    runtime: runtimes.Runtime, link: links.Link
+    runtime: runtimes.Runtime, link: links.Link, node_id: str
 ) -> None:
     while True:
-        next_ping = trio.current_time() + _PING_INTERVAL_S
-        while (left_s := next_ping - trio.current_time()) > 0:
-            with trio.move_on_after(left_s):
+        pinged_at = trio.current_time()
+        # The interval changes when the node becomes a reader of the zone.
+        while (
+            left_s := pinged_at
+            + runtime.ping_interval_s(node_id)
+            - trio.current_time()
+        ) > 0:
+            with trio.move_on_after(min(left_s, _MAX_WAIT_S)):
                 message = await link.expect(link_messages.StateUpdate)
                 _apply_update(runtime, message, None)
-        await _ping(runtime, link)
+        await _ping(runtime, link, node_id)
 
 
-async def _ping(runtime: runtimes.Runtime, link: links.Link) -> None:
+async def _ping(
+    runtime: runtimes.Runtime, link: links.Link, node_id: str
+) -> None:
+    is_candidate = node_id in runtime.readers.candidates
     sent_at = runtime.clock.now_with_suspend()
     number = link.next_call_id()
     with trio.fail_after(_RESPONSE_TIMEOUT_S):
         await link.send(
             link_messages.Ping(
-                number=number, configuration_version=runtime.version
+                number=number,
+                configuration_version=runtime.version,
+                members_revision=(
+                    runtime.members_revision if is_candidate else None
+                ),
             )
         )
         message = await link.expect(link_messages.StateUpdate)
@@ -105,6 +119,14 @@
     entry = link_messages.to_entry(message.entry)
     runtime.fleet.update(entry)
     runtime.record_node_demand(entry.node_id, message.demand)
+    if message.reaches_store:
+        runtime.unusable_readers.discard(entry.node_id)
+    else:
+        runtime.unusable_readers.add(entry.node_id)
+    if message.members:
+        members.apply_relayed(
+            runtime, message.members, message.members_revision, entry.node_id
+        )
     if message.configuration:
         configuration.offer(runtime, message.configuration, entry.node_id)
     if sent_at is not None and message.configuration_version == runtime.version:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -1,6 +1,7 @@
 """Serves one control link that another node has opened."""
 
 from collections.abc import Callable
+import dataclasses
 
 import trio
 
@@ -26,22 +27,51 @@
     return f"link from {peer} lost: {error}"
 
 
+@dataclasses.dataclass(slots=True)
+class _Subscriber:
+    """What the other node has, by its pings and the updates since.
+
+    Attributes:
+      version: Version of its configuration.
+      members_revision: Revision of the store of its entries; None if it does
+        not ask for them.
+      is_relayed: Whether changes of either are sent to it.
+    """
+
+    version: int = 0
+    members_revision: int | None = None
+    is_relayed: bool = False
+
+
 async def serve(
     runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
-    """Responds to messages; sends an update when this node's entry changes."""
+    """Responds to messages; sends an update when this node's entry changes.
+
+    A node of the same zone that takes this one for a reader of the store gets
+    its changes as well.
+    """
     async with trio.open_nursery() as nursery:
         try:
             link = await links.upgrade(
                 nursery, stream, peer, _UPGRADE_TIMEOUT_S
             )
             subscribed = False
+            subscriber = _Subscriber()
             while True:
                 with trio.fail_after(_SILENCE_TIMEOUT_S):
                     message = await link.receive()
                 if isinstance(message, link_messages.Ping) and not subscribed:
                     subscribed = True
                     nursery.start_soon(_send_updates, runtime, link)
+                if isinstance(message, link_messages.Ping):
+                    subscriber.version = message.configuration_version
+                    subscriber.members_revision = message.members_revision
+                    if message.members_revision is not None and (
+                        not subscriber.is_relayed
+                    ):
+                        subscriber.is_relayed = True
+                        nursery.start_soon(_relay, runtime, link, subscriber)
                 await link.send(_answer(runtime, link, message))
         except (errors.SassafrasError, trio.TooSlowError) as error:
             link_lost(peer, str(error) or "silent")
@@ -70,7 +100,12 @@
     runtime: runtimes.Runtime, message: models.Message
 ) -> models.Message:
     assert isinstance(message, link_messages.Ping)
-    return node_update(runtime, message.configuration_version, message.number)
+    return node_update(
+        runtime,
+        message.configuration_version,
+        message.number,
+        message.members_revision,
+    )
 
 
 @message_handlers.register("token_ask")
@@ -94,8 +129,33 @@
             return
 
 
+async def _relay(
+    runtime: runtimes.Runtime, link: links.Link, subscriber: _Subscriber
+) -> None:
+    """Sends the configuration and the entries that this node has read."""
+    while True:
+        await runtime.relay_changed.wait()
+        if subscriber.members_revision is None:
+            continue
+        update = node_update(
+            runtime,
+            subscriber.version,
+            members_revision=subscriber.members_revision,
+        )
+        subscriber.version = runtime.version
+        subscriber.members_revision = runtime.members_revision
+        try:
+            await link.send(update)
+        except errors.ConnectionLostError:
+            # The session reads from the same link and reports its end.
+            return
+
+
 def node_update(
-    runtime: runtimes.Runtime, known_version: int, number: int = 0
+    runtime: runtimes.Runtime,
+    known_version: int,
+    number: int = 0,
+    members_revision: int | None = None,
 ) -> link_messages.StateUpdate:
     """Returns the current state of this node for another node.
 
@@ -103,7 +163,14 @@
       runtime: The node.
       known_version: Configuration version of the other node.
       number: Number of the ping that is answered; 0 for none.
+      members_revision: Revision of the store of the other node's entries; None
+        if it does not ask for them.
     """
+    sends_members = (
+        members_revision is not None
+        and runtime.is_watching_members
+        and members_revision < runtime.members_revision
+    )
     age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
     return link_messages.StateUpdate(
         number=number,
@@ -112,6 +179,9 @@
         configuration_version=runtime.version,
         confirmed_age_s=age_s,
         demand=runtime.demand,
+        reaches_store=runtime.reaches_store,
+        members_revision=runtime.members_revision if sends_members else 0,
+        members=runtime.encoded_members() if sends_members else b"",
         configuration=(
             runtime.document if runtime.version > known_version else b""
         ),
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from sassafras_base import events
 from sassafras_base import supervision
 from sassafras_node import listening
 from sassafras_node.limits import exchange
@@ -28,6 +29,16 @@
 )
 
 
+@events.declare(849, "INFO")
+def zone_reader_changed(reader: str, candidates: str) -> str:
+    """Another node of the zone reads the store for this node.
+
+    `candidates` are the nodes that this node asks, in order; it is the reader
+    itself if it is the first.
+    """
+    return f"{reader} reads the store for the zone"
+
+
 async def run(
     runtime: runtimes.Runtime,
     calls: listening.Listener,
@@ -85,6 +96,7 @@
     while True:
         for node_id in runtime.fleet.expire(runtime.clock.now_with_suspend()):
             runtime.forget_node(node_id)
+        _update_readers(runtime)
         supervisor.reconcile(
             "link:",
             {
@@ -103,3 +115,11 @@
             },
         )
         await trio.sleep(_ROSTER_INTERVAL_S)
+
+
+def _update_readers(runtime: runtimes.Runtime) -> None:
+    previous = runtime.readers.candidates[0]
+    runtime.update_readers()
+    candidates = runtime.readers.candidates
+    if candidates[0] != previous:
+        zone_reader_changed(candidates[0], ",".join(candidates))
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -25,12 +25,14 @@
 from sassafras_policy.mesh import downstream
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
+from sassafras_policy.mesh import readers
 from sassafras_policy.mesh import retry_budget
 from sassafras_policy.mesh import routing
 from sassafras_policy.mesh import targets
 from sassafras_wire.http import deadlines
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
+from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import link as links
 
 # After an outage of the store, a live node writes its entry again within this
@@ -45,6 +47,11 @@
 _CALL_DEADLINE_INTERVAL_S = 0.02
 _IDLE_DEADLINE_INTERVAL_S = 1.0
 
+# Shares of rates that are divided by demand allow for demand of this age.
+_MIN_PING_INTERVAL_S = 2.0
+# Bounds the processor time for pings in a large fleet.
+_MAX_PINGS_PER_S = 20.0
+
 # Bounds the task that opens a link; requests wait for tokens for less.
 _LIMIT_CONNECT_TIMEOUT_S = 0.5
 
@@ -73,6 +80,12 @@
       running_calls: Calls that the local target is running, by id.
       drain: Work in flight and planned stop.
       lease: Lease of this node's entry; 0 for none.
+      entry_revision: Revision of the store at which it was written last.
+      readers: Which nodes of the zone read the store for the others.
+      unusable_readers: Nodes that cannot be reached or do not reach the store.
+      reaches_store: Whether the last call to the store was answered.
+      is_watching_members: Whether this node has the newest entries itself.
+      members_revision: Revision of the store at which it has all entries.
       is_fleet_loaded: Whether the entries of all nodes have been read once.
         Until then, the node would take itself for the only one and use the
         whole of every rate.
@@ -80,6 +93,8 @@
       measurements: Counters and latencies.
       sub_call_failed_at: When a sub-call of the local target last failed.
       entry_changed: Set and replaced when this node's entry changes.
+      relay_changed: Set and replaced when this node has read a change from the
+        store that other nodes of its zone wait for.
       own_entry_removed: Set when the store has lost this node's entry;
         replaced when it has been written.
       http_limits: Bounds on requests.
@@ -131,8 +146,18 @@
         self.is_leaving = False
         self.is_fleet_loaded = False
         self.lease = 0
+        self.entry_revision = 0
+        self.readers = readers.ZoneReaders(
+            settings.host.node_id, (settings.host.node_id,)
+        )
+        self.unusable_readers: set[str] = set()
+        self.reaches_store = True
+        self.is_watching_members = False
+        self.members_revision = 0
+        self._members = (-1, b"")
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
+        self.relay_changed = trio.Event()
         self.own_entry_removed = trio.Event()
         self.http_limits = http_server.ServerLimits()
         self.disconnects = disconnects.DisconnectMonitor()
@@ -144,6 +169,7 @@
         self._limiter_context: limiters.LimiterContext | None = None
         self._entry: targets.NodeEntry | None = None
         self._entry_source: tuple[object, ...] = ()
+        self._entry_number = 0
 
     @property
     def entry(self) -> targets.NodeEntry:
@@ -157,6 +183,7 @@
 
     def _make_entry(self) -> targets.NodeEntry:
         host = self.settings.host
+        self._entry_number += 1
         return targets.NodeEntry(
             node_id=host.node_id,
             incarnation=self._incarnation,
@@ -165,6 +192,7 @@
             link_address=host.link_address,
             is_leaving=self.is_leaving,
             target=self.target.published,
+            number=self._entry_number,
         )
 
     @property
@@ -274,8 +302,44 @@
                 node_id, demand, self.clock.now_with_suspend()
             )
 
+    def update_readers(self) -> None:
+        """Chooses the readers of the zone among the nodes that are usable."""
+        own = self.entry
+        usable = [
+            entry.node_id
+            for entry in self.fleet.entries
+            if entry.availability_zone == own.availability_zone
+            and not entry.is_leaving
+            and entry.node_id not in self.unusable_readers
+        ]
+        if self.reaches_store and not own.is_leaving:
+            usable.append(own.node_id)
+        self.readers = readers.choose(
+            own.availability_zone, own.node_id, usable
+        )
+
+    def encoded_members(self) -> bytes:
+        """Returns the entries of all nodes for a node of the same zone."""
+        revision, encoded = self._members
+        if revision != self.members_revision:
+            encoded = link_messages.encode_members(
+                [*self.fleet.listed_entries, self.entry]
+            )
+            self._members = (self.members_revision, encoded)
+        return encoded
+
+    def ping_interval_s(self, node_id: str) -> float:
+        """Returns the time between two pings to a node."""
+        if node_id in self.readers.candidates:
+            return readers.ping_interval_s(self.freshness.valid_s)
+        if self.demand:
+            # The shares of a rate follow demand that is this old.
+            return _MIN_PING_INTERVAL_S
+        return max(_MIN_PING_INTERVAL_S, len(self.fleet) / _MAX_PINGS_PER_S)
+
     def forget_node(self, node_id: str) -> None:
         """Drops the state kept for a node that is gone."""
+        self.unusable_readers.discard(node_id)
         self.target_tracker.drop(node_id)
         if isinstance(self.limiter, limiters.DemandRecorder):
             self.limiter.forget(node_id)
@@ -318,6 +382,11 @@
         changed, self.entry_changed = self.entry_changed, trio.Event()
         changed.set()
 
+    def publish_relay(self) -> None:
+        """Wakes the tasks that pass on what this node has read."""
+        changed, self.relay_changed = self.relay_changed, trio.Event()
+        changed.set()
+
 
 def _class_count(source: configuration.Configuration) -> int:
     """Returns how many ranks routes and organisations use."""
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
@@ -7,13 +7,15 @@
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import outages
+from sassafras_policy.mesh import readers
 from sassafras_wire.store import client as store_client
 
-# Each response to a waiting call proves that the configuration is the newest,
-# so the wait bounds the age of that proof. Three proofs fit into the time in
-# which a withdrawn key must stop working.
-_WAITS_PER_REVOCATION = 3.0
 _RETRY_S = 0.3
+# A node that is no candidate for reading retries later: in an outage, the
+# candidates find the store again and pass the proof on.
+_OTHERS_RETRY_S = 1.0
+# Delay until a node notices that it has become the reader of its zone.
+_ROLE_CHECK_S = 0.25
 
 
 @events.declare(840, "INFO")
@@ -29,20 +31,41 @@
 
 
 async def run(runtime: runtimes.Runtime) -> None:
-    """Follows the configuration until cancelled."""
+    """Follows the configuration until cancelled.
+
+    The reader of a zone watches it. Each response to its waiting calls proves
+    that the configuration is the newest, so the wait bounds the age of that
+    proof. The other nodes get both from pings, and read when that fails.
+    """
     outage_log = outages.OutageLog("configuration")
     while True:
         try:
+            await _wait_until_due(runtime)
             revision = await _read(runtime)
+            runtime.reaches_store = True
             outage_log.record_success()
-            while True:
+            while runtime.readers.is_reader:
                 revision = await _await_change(runtime, revision)
         except interfaces.HistoryLostError:
             # The whole value is read instead of the changes.
             continue
         except store_client.StoreUnavailableError as error:
+            runtime.reaches_store = False
             outage_log.record_failure(error)
-            await trio.sleep(_RETRY_S)
+            is_candidate = (
+                runtime.settings.host.node_id in runtime.readers.candidates
+            )
+            await trio.sleep(_RETRY_S if is_candidate else _OTHERS_RETRY_S)
+
+
+async def _wait_until_due(runtime: runtimes.Runtime) -> None:
+    """Waits until this node is the reader or its proof is too old."""
+    while True:
+        limit_s = runtime.readers.read_after_age_s(runtime.freshness.valid_s)
+        age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
+        if age_s >= limit_s:
+            return
+        await trio.sleep(min(limit_s - age_s, _ROLE_CHECK_S))
 
 
 async def _read(runtime: runtimes.Runtime) -> int:
@@ -56,11 +79,12 @@
 
 
 async def _await_change(runtime: runtimes.Runtime, revision: int) -> int:
-    wait_s = runtime.settings.bounds.revocation_s / _WAITS_PER_REVOCATION
+    wait_s = readers.wait_s(runtime.freshness.valid_s)
     requested_at = runtime.clock.now_with_suspend()
     listing = await runtime.platform.store.changes(
         runtime.platform.codecs.configuration_key, revision, wait_s
     )
+    runtime.reaches_store = True
     _offer_changes(runtime, listing)
     runtime.freshness.confirm(requested_at)
     return listing.revision
@@ -73,6 +97,7 @@
     for item in listing.items:
         if item.key == key and item.value is not None:
             offer(runtime, item.value, "store")
+            runtime.publish_relay()
 
 
 def offer(runtime: runtimes.Runtime, document: bytes, source: str) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -7,13 +7,19 @@
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import entries
 from sassafras_node.mesh.store import outages
+from sassafras_wire.mesh import link_messages
 from sassafras_wire.store import client as store_client
 
+# Delay until a node notices that it has become the reader of its zone.
+_ROLE_CHECK_S = 0.25
 # A watch waits this long; a change ends the wait at once.
 _WAIT_S = 20.0
 # Changes come in bursts, as when all nodes start; one call then gets several.
 _BATCH_DELAY_S = 0.2
 _RETRY_S = 0.5
+# At the start of a fleet, each node has read the entries before the others have
+# written theirs. After this delay, one call returns all of them.
+_SETTLE_S = 1.5
 
 
 @events.declare(846, "WARNING")
@@ -22,6 +28,12 @@
     return f"entry {key} is not valid"
 
 
+@events.declare(848, "WARNING")
+def members_unreadable(source: str) -> str:
+    """The reader of the zone sent invalid entries; they are ignored."""
+    return f"entries of all nodes from {source} are not valid"
+
+
 @events.declare(847, "INFO")
 def node_entry_lapsed(node_id: str) -> str:
     """A node's entry is no longer in the store."""
@@ -29,38 +41,96 @@
 
 
 async def run(runtime: runtimes.Runtime) -> None:
-    """Follows the entries until cancelled."""
+    """Follows the entries until cancelled.
+
+    Each node reads them all once. After that only the reader of the zone
+    watches them, and the others get them from it when they change.
+    """
     outage_log = outages.OutageLog("members")
     while True:
         try:
             revision = await _read_all(runtime)
             outage_log.record_success()
+            await trio.sleep(_SETTLE_S)
             while True:
-                listing = await runtime.platform.store.changes(
-                    entries.PREFIX, revision, _WAIT_S
-                )
-                for item in listing.items:
-                    _apply(runtime, item)
-                revision = listing.revision
-                await trio.sleep(_BATCH_DELAY_S)
+                if runtime.readers.is_reader:
+                    revision = await _await_changes(runtime, revision)
+                else:
+                    runtime.is_watching_members = False
+                    await trio.sleep(_ROLE_CHECK_S)
+                    revision = max(revision, runtime.members_revision)
         except interfaces.HistoryLostError:
             # All entries are read instead of the changes.
             continue
         except store_client.StoreUnavailableError as error:
+            runtime.is_watching_members = False
             outage_log.record_failure(error)
             await trio.sleep(_RETRY_S)
 
 
+async def _await_changes(runtime: runtimes.Runtime, revision: int) -> int:
+    """Applies the changes since a revision; returns the next one."""
+    runtime.is_watching_members = True
+    listing = await runtime.platform.store.changes(
+        entries.PREFIX, revision, _WAIT_S
+    )
+    for item in listing.items:
+        _apply(runtime, item)
+    if listing.items:
+        # Other keys of the store change its revision as well.
+        runtime.members_revision = listing.revision
+        runtime.publish_relay()
+    await trio.sleep(_BATCH_DELAY_S)
+    return listing.revision
+
+
+def apply_relayed(
+    runtime: runtimes.Runtime, encoded: bytes, revision: int, source: str
+) -> None:
+    """Applies the entries that the reader of the zone has.
+
+    Args:
+      runtime: The node.
+      encoded: The entries of all nodes.
+      revision: Revision of the store at which the reader had them.
+      source: The reader.
+    """
+    if revision <= runtime.members_revision:
+        return
+    relayed = link_messages.decode_members(encoded)
+    if relayed is None:
+        members_unreadable(source)
+        return
+    for entry in relayed:
+        runtime.fleet.update(entry)
+    runtime.members_revision = revision
+    _keep_only(runtime, {entry.node_id for entry in relayed}, revision)
+
+
+def _keep_only(
+    runtime: runtimes.Runtime, known: set[str], revision: int
+) -> None:
+    """Lapses the nodes without an entry at a revision of the store."""
+    runtime.fleet.keep_only(known, runtime.clock.now_with_suspend())
+    if (
+        runtime.settings.host.node_id not in known
+        and revision >= runtime.entry_revision
+    ):
+        runtime.own_entry_removed.set()
+
+
 async def _read_all(runtime: runtimes.Runtime) -> int:
     listing = await runtime.platform.store.get_prefix(entries.PREFIX)
     for item in listing.items:
         _apply(runtime, item)
-    known = {entries.node_of(item.key) for item in listing.items}
-    runtime.fleet.keep_only(known, runtime.clock.now_with_suspend())
+    runtime.members_revision = listing.revision
+    _keep_only(
+        runtime,
+        {entries.node_of(item.key) for item in listing.items},
+        listing.revision,
+    )
     runtime.is_fleet_loaded = True
     runtime.configure_limiter()
-    if runtime.settings.host.node_id not in known:
-        runtime.own_entry_removed.set()
     return listing.revision
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -51,8 +51,8 @@
 ) -> None:
     """Writes the entry at each change until it or its lease is gone.
 
-    A call that fails leaves the lease as it is. The next attempt starts with a
-    new one, and the compare-and-swap orders the writes of the two.
+    After a write that fails, the next attempt starts with a new lease, and the
+    compare-and-swap orders the writes of the two.
     """
     store = runtime.platform.store
     ttl_s = max(
@@ -71,16 +71,39 @@
             if revision == 0:
                 return
             written = value
+            runtime.entry_revision = revision
             runtime.own_entry_removed = trio.Event()
             outage_log.record_success()
             entry_written(revision, _state(runtime))
         await _wait(runtime, changed, ttl_s / _RENEWALS_PER_LEASE)
         if runtime.own_entry_removed.is_set():
             return
-        if not changed.is_set() and not await store.renew_lease(lease):
+        if not changed.is_set() and not await _renew(
+            runtime, lease, outage_log
+        ):
             return
 
 
+async def _renew(
+    runtime: runtimes.Runtime, lease: int, outage_log: outages.OutageLog
+) -> bool:
+    """Renews the lease, also after an outage; returns False if it has ended.
+
+    A renewal costs the store less than a new lease and a write.
+    """
+    while True:
+        try:
+            is_alive = await runtime.platform.store.renew_lease(lease)
+        except store_client.StoreUnavailableError as error:
+            runtime.reaches_store = False
+            outage_log.record_failure(error)
+            await trio.sleep(_RETRY_S)
+            continue
+        runtime.reaches_store = True
+        outage_log.record_success()
+        return is_alive
+
+
 async def _wait(
     runtime: runtimes.Runtime, changed: trio.Event, max_s: float
 ) -> None:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -116,6 +116,23 @@
         self._clients = clients
         self._pools = pools
 
+    def demand(self, now: float) -> dict[str, float]:
+        """See DemandRecorder.
+
+        A rate whose pool is the whole of it is not divided by demand.
+        """
+        assert self._context is not None
+        divided = {
+            organisation.name
+            for organisation in self._context.organisations
+            if self._divided_fraction(organisation) > 0.0
+        }
+        return {
+            name: rate
+            for name, rate in super().demand(now).items()
+            if name in divided
+        }
+
     def _divided_fraction(self, organisation: document.Organisation) -> float:
         """Returns the fraction of a rate that is not in its pool.
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
@@ -54,11 +54,22 @@
         if entry.node_id == self._own_id:
             return
         member = self._members.get(entry.node_id)
-        if member and member.entry.incarnation > entry.incarnation:
+        if member and _order(member.entry) > _order(entry):
+            return
+        if member and member.entry == entry and member.removed_at is None:
             return
         self._members[entry.node_id] = Member(entry)
         self._by_service = None
 
+    @property
+    def listed_entries(self) -> list[targets.NodeEntry]:
+        """The entries that have not lapsed in the store."""
+        return [
+            member.entry
+            for member in self._members.values()
+            if member.removed_at is None
+        ]
+
     def lapse(self, node_id: str, now: float) -> None:
         """Records that the store no longer has an entry of a node."""
         member = self._members.get(node_id)
@@ -93,3 +104,7 @@
                     index.setdefault(entry.service, []).append(entry)
             self._by_service = index
         return self._by_service.get(service, [])
+
+
+def _order(entry: targets.NodeEntry) -> tuple[int, int]:
+    return entry.incarnation, entry.number
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/freshness.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/freshness.py
@@ -32,6 +32,11 @@
         """Returns the age of the last proof, at most a million seconds."""
         return min(now - self._confirmed_at, _MAX_AGE_S)
 
+    @property
+    def valid_s(self) -> float:
+        """Time for which a proof permits requests with a key."""
+        return self.revocation_s - _WATCH_DELAY_S
+
     def permits_keys(self, now: float) -> bool:
         """Returns whether requests with a key may be served."""
-        return self.age_s(now) < self.revocation_s - _WATCH_DELAY_S
+        return self.age_s(now) < self.valid_s
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/targets.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/targets.py
@@ -49,6 +49,8 @@
       link_address: Address for control links of other nodes.
       is_leaving: Whether it is about to stop.
       target: The local target, or None.
+      number: Increases with each change of the entry of one incarnation, as
+        entries arrive over links and through the store in any order.
     """
 
     node_id: str
@@ -58,6 +60,7 @@
     link_address: str
     is_leaving: bool = False
     target: Announcement | None = None
+    number: int = 0
 
     @property
     def service(self) -> str:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -35,15 +35,24 @@
     link_address: str
     is_leaving: bool = False
     target: AnnouncementModel | None = None
+    number: int = 0
 
 
 @models.message_types.register("mesh_ping")
 class Ping(models.Message):
-    """Requests the peer's state; a `StateUpdate` with this number responds."""
+    """Requests the peer's state; a `StateUpdate` with this number responds.
+
+    Attributes:
+      number: Number of the ping.
+      configuration_version: Version that the pinging node has.
+      members_revision: Revision of the store at which the pinging node has the
+        entries of all nodes; None if it does not ask for them.
+    """
 
     type: Literal["mesh_ping"] = "mesh_ping"
     number: int = pydantic.Field(gt=0)
     configuration_version: int
+    members_revision: int | None = None
 
 
 @models.message_types.register("mesh_news")
@@ -57,6 +66,11 @@
       confirmed_age_s: Time since its configuration was confirmed as the newest.
       demand: Requests per second that it receives, by organisation.
       configuration: The document, when newer than that of the pinging node.
+      reaches_store: Whether the store answers the node.
+      members_revision: Revision of the store at which the node has the entries
+        of all nodes.
+      members: These entries, when newer than those of the pinging node; see
+        `encode_members`.
     """
 
     type: Literal["mesh_news"] = "mesh_news"
@@ -67,6 +81,25 @@
     confirmed_age_s: float
     demand: dict[str, float] = {}
     configuration: bytes = b""
+    reaches_store: bool = True
+    members_revision: int = 0
+    members: bytes = b""
+
+
+_MEMBERS = pydantic.TypeAdapter(list[NodeEntryModel])
+
+
+def encode_members(entries: list[targets.NodeEntry]) -> bytes:
+    """Returns the entries of nodes as one value."""
+    return _MEMBERS.dump_json([to_model(entry) for entry in entries])
+
+
+def decode_members(value: bytes) -> list[targets.NodeEntry] | None:
+    """Returns the entries in a value, or None if it is not valid."""
+    try:
+        return [to_entry(model) for model in _MEMBERS.validate_json(value)]
+    except pydantic.ValidationError:
+        return None
 
 
 def to_model(entry: targets.NodeEntry) -> NodeEntryModel:
@@ -79,6 +112,7 @@
         call_address=entry.call_address,
         link_address=entry.link_address,
         is_leaving=entry.is_leaving,
+        number=entry.number,
         target=None
         if target is None
         else AnnouncementModel(
@@ -104,6 +138,7 @@
         call_address=model.call_address,
         link_address=model.link_address,
         is_leaving=model.is_leaving,
+        number=model.number,
         target=None
         if target is None
         else targets.Announcement(**target.model_dump()),
--- a/tests/common/call_nodes.py
+++ b/tests/common/call_nodes.py
@@ -6,6 +6,8 @@
 import random
 import tempfile
 
+import trio.testing
+
 from sassafras_base import clock as clocks
 from sassafras_base import hashing
 from sassafras_node import runtime as runtimes
@@ -139,6 +141,8 @@
         self._nursery.start_soon(runtime.peer_pools.run_readers)
         self._nursery.start_soon(runtime.disconnects.run)
         self._nursery.start_soon(runtime.idle_deadlines.run)
+        # Calls are refused until the task of the readers runs.
+        await trio.testing.wait_all_tasks_blocked()
         if service:
             await runtime.target.announce(
                 records.Announcement(
--- a/tests/contract/test_keys_stay_inside.py
+++ b/tests/contract/test_keys_stay_inside.py
@@ -14,6 +14,7 @@
 from sassafras_standins.store import server as store_server
 from sassafras_standins.target import server as target_server
 from sassafras_standins.target import settings as target_settings
+from sassafras_wire.http import sockets
 from sassafras_wire.peer import codec
 
 pytestmark = pytest.mark.loopback
@@ -66,6 +67,13 @@
         return await original(self, data, *flags)
 
     monkeypatch.setattr(socket_type, "send", record)
+    send_now = sockets.SocketStream.send_now
+
+    def record_now(self, data):
+        sent.extend(data)
+        return send_now(self, data)
+
+    monkeypatch.setattr(sockets.SocketStream, "send_now", record_now)
     encode = codec.encode
 
     def record_frame(message):
--- /dev/null
+++ b/tests/mesh/test_zone_readers.py
@@ -0,0 +1,222 @@
+"""One node of each zone reads the store for the others."""
+
+import pytest
+import trio
+
+from common import mesh_fleet
+from common import waiting
+from sassafras_policy.mesh import readers
+from sassafras_standins.fleet import launcher
+from sassafras_wire.http import pool
+
+_VALID_S = 4.0
+_NAMES = tuple(f"node-{number}" for number in range(12))
+
+
+def test_all_nodes_choose_the_same_candidates():
+    """Guards against a zone in which every node reads for itself."""
+    views = {readers.choose("zone-a", name, _NAMES) for name in _NAMES}
+    assert len({view.candidates for view in views}) == 1
+    assert sum(view.is_reader for view in views) == 1
+
+
+def test_zones_spread_the_role():
+    """Guards against one node that reads for several zones' worth of load."""
+    first = {
+        readers.choose(f"zone-{n}", "x", _NAMES).candidates[0]
+        for n in range(40)
+    }
+    assert len(first) > 6
+
+
+def test_the_next_candidate_follows_when_the_reader_is_unusable():
+    """Guards against a zone without a reader."""
+    before = readers.choose("zone-a", "x", _NAMES).candidates
+    left = [name for name in _NAMES if name != before[0]]
+    after = readers.choose("zone-a", "x", left).candidates
+    assert after[:2] == before[1:]
+
+
+def test_a_node_that_knows_no_other_reads_itself():
+    """Guards against a node that waits for others which it cannot reach."""
+    assert readers.choose("zone-a", "x", ["x"]).is_reader
+    assert readers.choose("zone-a", "x", []).is_reader
+
+
+def test_every_node_reads_before_its_proof_expires():
+    """Guards against refusals of keys while the store is reachable."""
+    normal_age_s = 2 * readers.wait_s(_VALID_S) + readers.ping_interval_s(
+        _VALID_S
+    )
+    for name in _NAMES:
+        view = readers.choose("zone-a", name, _NAMES)
+        limit_s = view.read_after_age_s(_VALID_S)
+        assert limit_s < 0.85 * _VALID_S
+        if not view.is_reader:
+            assert limit_s > normal_age_s
+
+
+def test_candidates_read_before_the_others():
+    """Guards against a store that all nodes of a zone call at once."""
+    limits = {
+        name: readers.choose("zone-a", name, _NAMES).read_after_age_s(_VALID_S)
+        for name in _NAMES
+    }
+    ranked = readers.choose("zone-a", "x", _NAMES).candidates
+    ordered = sorted(limits, key=limits.__getitem__)
+    assert tuple(ordered[:3]) == ranked
+    assert len(set(limits.values())) > len(_NAMES) // 2
+
+
+_SIZE = 5
+
+
+async def _with_zone(tmp_path, check):
+    async with mesh_fleet.running(tmp_path) as fleet:
+        for number in range(_SIZE):
+            await fleet.add_machine(f"m{number}")
+        await fleet.wait_until_settled()
+        await _until(
+            lambda: len(_readers(fleet)) == 1, "one node reads the store"
+        )
+        with trio.fail_after(30):
+            await check(fleet)
+
+
+def _readers(fleet):
+    return [
+        name for name, node in fleet.nodes.items() if node.readers.is_reader
+    ]
+
+
+async def _until(condition, description):
+    async def check():
+        return condition()
+
+    await waiting.until(check, description)
+
+
+@pytest.mark.loopback
+async def test_calls_to_the_store_do_not_grow_with_the_zone(tmp_path):
+    """Guards against calls of each node in steady state.
+
+    Renewals of leases remain; the store counts each as a tenth of a call.
+    """
+
+    async def check(fleet):
+        await trio.sleep(2.0)
+        fleet.store.calls.clear()
+        await trio.sleep(3.0)
+        calls = sum(
+            count
+            for name, count in fleet.store.calls.items()
+            if "/kv-keep/" not in name
+        )
+        # The reader waits 0.8 s in each call.
+        assert calls <= 8
+        assert all(node.is_ready for node in fleet.nodes.values())
+
+    await _with_zone(tmp_path, check)
+
+
+@pytest.mark.loopback
+async def test_a_configuration_reaches_the_nodes_that_do_not_read(tmp_path):
+    """Guards against a configuration that only the reader applies."""
+
+    async def check(fleet):
+        fleet.configure(2)
+        with trio.fail_after(2.0):
+            await fleet.wait_until_version(2)
+
+    await _with_zone(tmp_path, check)
+
+
+@pytest.mark.loopback
+async def test_another_node_reads_when_the_reader_dies(tmp_path):
+    """Guards against a withdrawn key that works on, or a zone that refuses."""
+
+    async def check(fleet):
+        (name,) = _readers(fleet)
+        fleet.kill_node(name)
+        fleet.nodes.pop(name)
+        fleet.configure(2)
+        ready = True
+
+        def has_version():
+            nonlocal ready
+            ready = ready and all(n.is_ready for n in fleet.nodes.values())
+            return all(n.version == 2 for n in fleet.nodes.values())
+
+        with trio.fail_after(2.0):
+            await _until(has_version, "version 2 without the reader")
+        await trio.sleep(_VALID_S)
+        assert ready
+        assert all(node.is_ready for node in fleet.nodes.values())
+
+    await _with_zone(tmp_path, check)
+
+
+@pytest.mark.loopback
+async def test_a_reader_that_loses_the_store_hands_the_role_on(tmp_path):
+    """Guards against a zone that depends on a node which the store rejects."""
+
+    async def check(fleet):
+        (name,) = _readers(fleet)
+        runtime = fleet.nodes[name]
+        # Nothing listens there: each call of this node is refused.
+        runtime.platform.store._pool = pool.ConnectionPool(
+            launcher.free_address(),
+            "store.call",
+            size=4,
+            body_limit=1000,
+            connect_timeout_s=0.5,
+        )
+        await _until(
+            lambda: name not in _readers(fleet) and len(_readers(fleet)) == 1,
+            "another node reads",
+        )
+        fleet.configure(2)
+        with trio.fail_after(2.0):
+            await fleet.wait_until_version(2)
+        await trio.sleep(_VALID_S)
+        assert runtime.is_ready
+
+    await _with_zone(tmp_path, check)
+
+
+@pytest.mark.loopback
+async def test_members_come_and_go_at_nodes_that_do_not_read(tmp_path):
+    """Guards against calls to nodes that have left, or new ones unused."""
+
+    async def check(fleet):
+        await fleet.add_machine("new")
+        await fleet.wait_until_settled()
+        fleet.nodes["new"].drain.requested.set()
+        node = fleet.nodes.pop("new")
+        node_id = node.settings.host.node_id
+        await _until(
+            lambda: all(
+                n.fleet.get(node_id) is None for n in fleet.nodes.values()
+            ),
+            "the node that left is gone everywhere",
+        )
+
+    await _with_zone(tmp_path, check)
+
+
+@pytest.mark.loopback
+async def test_entries_that_lapsed_are_written_again(tmp_path):
+    """Guards against live nodes that are forgotten after an outage."""
+
+    async def check(fleet):
+        for node in list(fleet.nodes.values()):
+            fleet.store._end_lease(node.lease)
+        await _until(
+            lambda: all(
+                len(n.fleet.listed_entries) == _SIZE - 1
+                for n in fleet.nodes.values()
+            ),
+            "all entries are back",
+        )
+
+    await _with_zone(tmp_path, check)
