--- a/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
@@ -5,6 +5,7 @@
 code by running each with the same seed.
 """
 
+import collections
 import pathlib
 import random
 import resource
@@ -216,6 +217,12 @@
     print(f"node CPU: {cpu_s * 1000 / max(1, total):.2f} ms a request")
     print(f"node memory, largest: {usage.ru_maxrss / 1024:.1f} MB")
     print(f"store calls: {sum(store.calls.values())}")
+    by_kind: collections.Counter[str] = collections.Counter()
+    for call, count in store.calls.items():
+        # Method and name; leases have their id behind it.
+        by_kind["/".join(call.split("/")[:3])] += count
+    for kind, count in by_kind.most_common():
+        print(f"  {kind}: {count}")
 
 
 def _main(argv: list[str]) -> None:
