--- a/packages/sassafras-base/src/sassafras_base/clock.py
+++ b/packages/sassafras-base/src/sassafras_base/clock.py
@@ -23,11 +23,16 @@
 
 
 class SystemClock:
-    """The host's clocks; usable only inside `trio.run`."""
+    """The host's clocks; usable only inside one `trio.run`."""
+
+    def __init__(self) -> None:
+        self._clock: trio.abc.Clock | None = None
 
     def now(self) -> float:
         """Returns trio's time, which a mock clock controls in tests."""
-        return trio.current_time()
+        if self._clock is None:
+            self._clock = trio.lowlevel.current_clock()
+        return self._clock.current_time()
 
     def now_with_suspend(self) -> float:
         """Returns CLOCK_BOOTTIME, so that a suspend cannot extend a lease."""
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -205,7 +205,7 @@
         tracker.record_response(entry.node_id, response)
         return response
     remaining_s = max(0.0, call.context.deadline - runtime.clock.now())
-    request = call_messages.to_message(
+    request = call_messages.encode_call(
         call,
         target_id,
         remaining_s - min(_PEER_MARGIN_S, remaining_s / 4),
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_pools.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_pools.py
@@ -26,11 +26,11 @@
     async def exchange(
         self,
         address: str,
-        call: call_messages.CallMessage,
+        call: bytes,
         progress: progresses.Progress,
         deadline: float,
     ) -> call_messages.AnswerMessage:
-        """Sends a call; raises as `CallConnection.exchange` does."""
+        """Sends an encoded call; raises as `CallConnection.exchange` does."""
         connections = self._pools.get(address)
         if connections is None:
             connections = pool.Pool(
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -14,6 +14,7 @@
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
+from sassafras_wire.peer import codec
 
 
 @events.declare(830, "INFO")
@@ -73,10 +74,11 @@
     runtime.idle_deadlines.set(
         stream, trio.current_time() + call_connection.IDLE_TIMEOUT_S
     )
-    message = await connection.receive()
-    if message is None:
+    content = await connection.receive()
+    if content is None:
         return False
     runtime.idle_deadlines.clear(stream)
+    message = codec.decode(content, connection.peer)
     if not isinstance(message, call_messages.CallMessage):
         raise errors.ProtocolError(
             "peer.call", connection.peer, f"{message.type!r} is not a call"
@@ -106,7 +108,7 @@
     """Sends a response; returns whether another call may follow."""
     is_last = runtime.drain.is_draining
     await connection.send(
-        call_messages.to_answer_message(response, is_last),
+        call_messages.encode_answer(response, is_last),
         progresses.Progress(),
     )
     return not is_last
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -126,7 +126,10 @@
             target_ejected(node_id, target.ejection_s)
 
     def _tracked(self, node_id: str) -> TrackedTarget:
-        return self._targets.setdefault(node_id, TrackedTarget())
+        tracked = self._targets.get(node_id)
+        if tracked is None:
+            tracked = self._targets[node_id] = TrackedTarget()
+        return tracked
 
 
 def _is_failure(response: messages.CallResponse) -> bool:
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -14,7 +14,10 @@
 
 def first_value(headers: Headers, name: str) -> str | None:
     """Returns the first value of a header, or None."""
-    return next((value for key, value in headers if key == name), None)
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
@@ -56,13 +56,10 @@
           open_level: The level at which every call is admitted.
           now: The current time.
         """
-        called = self._calls_by_route.get(route, ())
-        return min(
-            [
-                own_level,
-                *(int(self._levels.value(k, open_level, now)) for k in called),
-            ]
-        )
+        level = own_level
+        for key in self._calls_by_route.get(route, ()):
+            level = min(level, int(self._levels.value(key, open_level, now)))
+        return level
 
     def refuses(
         self,
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -240,7 +240,7 @@
         head = await self._receive_head()
         body = bytearray()
         chunks = 0
-        while isinstance(event := await self._next_event(), h11.Data):
+        while type(event := await self._next_event()) is h11.Data:
             body += event.data
             chunks += event.chunk_start
             if len(body) > self._body_limit:
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -105,10 +105,14 @@
         self, exchange: Callable[[C], Awaitable[R]], deadline: float
     ) -> R:
         while True:
-            connection = await self._take_idle()
-            is_new = connection is None
-            if connection is None:
+            is_new = not self._idle
+            if is_new:
                 connection = await _before(deadline, self._connect)
+            else:
+                connection = self._idle.pop()
+                if connection.is_stale():
+                    await connection.close()
+                    continue
             self._set_deadline(connection, deadline)
             try:
                 result = await exchange(connection)
@@ -128,14 +132,6 @@
                 await connection.close()
             return result
 
-    async def _take_idle(self) -> C | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.close()
-        return None
-
     def _set_deadline(self, connection: C, deadline: float) -> None:
         stream = connection.transport
         if self._monitor is not None and isinstance(
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -211,17 +211,19 @@
                 ) from None
             if event is h11.NEED_DATA:
                 return False
-            if isinstance(event, h11.Request):
+            # The events are abstract base classes, for which a comparison of
+            # types takes a tenth of the time of `isinstance`.
+            if type(event) is h11.Request:
                 self._head = event
                 self._head_only = event.method == b"HEAD"
                 self._headers = self._read_headers(event)
-            elif isinstance(event, h11.Data):
+            elif type(event) is h11.Data:
                 self._reserve(len(event.data))
                 self._body += event.data
                 if len(self._body) > self._limits.body_bytes:
                     raise self._body_too_large()
             else:
-                self._is_complete = isinstance(event, h11.EndOfMessage)
+                self._is_complete = type(event) is h11.EndOfMessage
                 return True
 
     def _body_too_large(self) -> RequestRefusedError:
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -64,6 +64,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = sock
         self._reads_at_once = is_accepted
+        # Created when first used, as most connections need one of them.
+        self._input_poll: select.poll | None = None
+        self._disconnect_poll: select.poll | None = None
 
     @classmethod
     async def connect(cls, host: str, port: int) -> Self:
@@ -96,17 +99,19 @@
         """Returns whether bytes or the end of the stream can be read."""
         if self._socket.fileno() < 0:
             return True
-        poll = select.poll()
-        poll.register(self._socket, select.POLLIN)
-        return bool(poll.poll(0))
+        if self._input_poll is None:
+            self._input_poll = select.poll()
+            self._input_poll.register(self._socket, select.POLLIN)
+        return bool(self._input_poll.poll(0))
 
     def is_disconnected(self) -> bool:
         """Returns whether the other side has closed the connection."""
         if self._socket.fileno() < 0:
             return True
-        poll = select.poll()
-        poll.register(self._socket, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        if self._disconnect_poll is None:
+            self._disconnect_poll = select.poll()
+            self._disconnect_poll.register(self._socket, select.POLLRDHUP)
+        return bool(self._disconnect_poll.poll(0))
 
     def enable_keepalive(self) -> None:
         """Makes the connection fail when nothing is acknowledged for 3 s."""
@@ -119,7 +124,7 @@
         ):
             self._socket.setsockopt(level, option, value)
 
-    def send_now(self, data: bytes | memoryview) -> int:
+    def send_now(self, data: bytes | bytearray | memoryview) -> int:
         """Sends what the socket takes without blocking; returns its size.
 
         Raises:
@@ -139,8 +144,10 @@
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
         """Sends all bytes; see trio.abc.SendStream."""
+        sent = self.send_now(data)
+        if sent == len(data):
+            return
         with memoryview(data) as view:
-            sent = self.send_now(view)
             while sent < len(view):
                 await self.wait_writable()
                 sent += self.send_now(view[sent:])
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_connection.py
@@ -8,6 +8,7 @@
 from sassafras_wire.http import sockets
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
+from sassafras_wire.peer import codec
 
 # Maximum message size in either direction. The configuration limits the bodies
 # of callers; only this limits those of targets.
@@ -56,10 +57,14 @@
         return self._frames.is_readable
 
     async def exchange(
-        self, call: call_messages.CallMessage, progress: progresses.Progress
+        self, call: bytes, progress: progresses.Progress
     ) -> call_messages.AnswerMessage:
         """Sends a call and returns the response.
 
+        Args:
+          call: The encoded call.
+          progress: Marked when the whole call has been sent.
+
         Raises:
           UnreachableError: The connection was lost before the whole call was
             sent; it did not run.
@@ -68,11 +73,12 @@
           ProtocolError: The response is not valid.
         """
         await self._frames.send(call, progress)
-        response = await self._frames.receive()
-        if response is None:
+        content = await self._frames.receive()
+        if content is None:
             raise errors.ConnectionLostError(
                 _STEP, self._address, "closed before it answered"
             )
+        response = codec.decode(content, self._address)
         if not isinstance(response, call_messages.AnswerMessage):
             raise errors.ProtocolError(
                 _STEP, self._address, f"a {response.type!r} is no answer"
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import Literal
 
+import cbor2
 import pydantic
 
 from sassafras_policy.calls import messages
@@ -93,33 +94,40 @@
     target_id: str
 
 
-def to_message(
-    call: calls.Call, target_id: str, remaining_s: float
-) -> CallMessage:
-    """Returns the message for a call.
+def encode_call(call: calls.Call, target_id: str, remaining_s: float) -> bytes:
+    """Returns a `CallMessage` as bytes.
+
+    The fields are taken from the call itself; a model in between would be
+    validated without need.
 
     Args:
       call: The call.
       target_id: The selected target.
       remaining_s: Time left until the deadline of the call.
     """
-    return CallMessage(
-        request_id=call.request_id,
-        caller_service=call.caller_service,
-        organisation=call.organisation,
-        service=call.service,
-        route=call.route,
-        target_id=target_id,
-        remaining_ms=max(0, int(remaining_s * 1000)),
-        priority=call.context.priority,
-        bucket=call.context.bucket,
-        depth=call.context.depth,
-        is_idempotent=call.is_idempotent,
-        method=call.request.method,
-        path=call.request.path,
-        headers=call.request.headers,
-        body=call.request.body,
-    )
+    request = call.request
+    context = call.context
+    content: dict[str, object] = {
+        "type": "mesh_call",
+        "request_id": call.request_id,
+        "caller_service": call.caller_service,
+        "service": call.service,
+        "route": call.route,
+        "target_id": target_id,
+        "remaining_ms": max(0, int(remaining_s * 1000)),
+        "priority": context.priority,
+        "bucket": context.bucket,
+        "depth": context.depth,
+        "is_idempotent": call.is_idempotent,
+        "method": request.method,
+        "path": request.path,
+        "headers": request.headers,
+    }
+    if call.organisation:
+        content["organisation"] = call.organisation
+    if request.body:
+        content["body"] = request.body
+    return cbor2.dumps(content)
 
 
 def to_call(message: CallMessage, now: float) -> ReceivedCall:
@@ -152,21 +160,26 @@
     return ReceivedCall(call, message.target_id)
 
 
-def to_answer_message(
-    response: messages.CallResponse, is_last: bool
-) -> AnswerMessage:
-    """Returns the message for a response."""
-    return AnswerMessage(
-        outcome=response.outcome,
-        reason=response.reason,
-        status=response.status,
-        headers=response.headers,
-        body=response.body,
-        load=response.load,
-        level=response.levels[0][1] if response.levels else None,
-        sub_call_failed=response.sub_call_failed,
-        is_last=is_last,
-    )
+def encode_answer(response: messages.CallResponse, is_last: bool) -> bytes:
+    """Returns an `AnswerMessage` as bytes."""
+    content: dict[str, object] = {
+        "type": "mesh_answer",
+        "outcome": response.outcome.value,
+        "status": response.status,
+        "headers": response.headers,
+        "load": response.load,
+    }
+    if response.reason:
+        content["reason"] = response.reason.value
+    if response.body:
+        content["body"] = response.body
+    if response.levels:
+        content["level"] = response.levels[0][1]
+    if response.sub_call_failed:
+        content["sub_call_failed"] = True
+    if is_last:
+        content["is_last"] = True
+    return cbor2.dumps(content)
 
 
 def to_response(message: AnswerMessage, service: str) -> messages.CallResponse:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
@@ -1,9 +1,9 @@
-"""Length-prefixed CBOR messages on a TCP connection between two nodes.
+"""Length-prefixed messages on a TCP connection between two nodes.
 
-Calls are most of the traffic between nodes. For a message and its response,
-both sides together, this format takes 0.02 ms of processor time, a websocket
-on trio 0.18 ms and HTTP/1.1 0.2 ms. Control links, which are few and mostly
-idle, use websockets.
+Calls are most of the traffic between nodes. For a message in CBOR and its
+response, both sides together, this format takes 0.02 ms of processor time, a
+websocket on trio 0.18 ms and HTTP/1.1 0.2 ms. Control links, which are few and
+mostly idle, use websockets.
 """
 
 import struct
@@ -13,8 +13,6 @@
 from sassafras_base import errors
 from sassafras_policy.calls import progress as progresses
 from sassafras_wire.http import sockets
-from sassafras_wire.peer import codec
-from sassafras_wire.peer import models
 
 _LENGTH = struct.Struct("!I")
 _READ_BYTES = 64 * 1024
@@ -48,20 +46,17 @@
         """Whether bytes or the end of the stream can be read."""
         return self._stream.has_input()
 
-    async def send(
-        self, message: models.Message, progress: progresses.Progress
-    ) -> None:
+    async def send(self, content: bytes, progress: progresses.Progress) -> None:
         """Sends a message.
 
         Args:
-          message: The message.
+          content: The encoded message.
           progress: Marked when the socket has accepted the last byte. The peer
             ignores an incomplete message.
 
         Raises:
           UnreachableError: The connection was lost before the last byte.
         """
-        content = codec.encode(message)
         data = _LENGTH.pack(len(content)) + content
         try:
             await self._stream.send_all(data)
@@ -71,14 +66,16 @@
             ) from None
         progress.may_have_run = True
 
-    async def receive(self) -> models.Message | None:
+    async def receive(self) -> bytes | None:
         """Returns the next message, or None at the end of the connection.
 
         Raises:
           ConnectionLostError: The connection was lost.
-          ProtocolError: A message is too long or not valid.
+          ProtocolError: A message is too long.
         """
-        if not await self._fill(_LENGTH.size):
+        if len(self._buffer) < _LENGTH.size and not await self._fill(
+            _LENGTH.size
+        ):
             return None
         (length,) = _LENGTH.unpack_from(self._buffer)
         if length > self._max_bytes:
@@ -88,11 +85,11 @@
                 f"a message of {length} bytes; at most {self._max_bytes}",
             )
         end = _LENGTH.size + length
-        if not await self._fill(end):
+        if len(self._buffer) < end and not await self._fill(end):
             return None
         content = bytes(self._buffer[_LENGTH.size : end])
         del self._buffer[:end]
-        return codec.decode(content, self.peer)
+        return content
 
     def close(self) -> None:
         """Closes the connection at once."""
--- a/tests/mesh/test_call_connections.py
+++ b/tests/mesh/test_call_connections.py
@@ -9,6 +9,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
+from sassafras_policy.mesh import calls
 from sassafras_standins.fleet import launcher
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import pool
@@ -16,21 +17,34 @@
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
+from sassafras_wire.peer import codec
 
 pytestmark = pytest.mark.loopback
 
-CALL = call_messages.CallMessage(
-    service="front",
-    route="safe",
-    remaining_ms=1000,
-    priority=1,
-    bucket=3,
-    depth=0,
-    is_idempotent=False,
-    method="POST",
-    path="/write/1",
-    headers=(("host", "shop.example"),),
-    body=bytes(range(256)) * 1024,
+BODY = bytes(range(256)) * 1024
+CALL = call_messages.encode_call(
+    calls.Call(
+        request=messages.Request(
+            "POST", "/write/1", (("host", "shop.example"),), BODY
+        ),
+        request_id="a1",
+        caller_service="back",
+        organisation="",
+        service="front",
+        context=messages.CallContext(
+            root_id="a1",
+            organisation="",
+            priority=1,
+            bucket=3,
+            deadline=0.0,
+            depth=0,
+            at_most_once=True,
+        ),
+        is_idempotent=False,
+        route="safe",
+    ),
+    "target-1",
+    1.0,
 )
 
 
@@ -80,7 +94,8 @@
     other = frames.FrameStream(
         stream, "caller", call_connection.MAX_MESSAGE_BYTES
     )
-    while (call := await other.receive()) is not None:
+    while (content := await other.receive()) is not None:
+        call = codec.decode(content, "caller")
         response = messages.CallResponse(
             outcome=outcomes.Outcome.RAN,
             status=201,
@@ -90,7 +105,7 @@
             levels=((call.service, 200),),
         )
         await other.send(
-            call_messages.to_answer_message(response, is_last),
+            call_messages.encode_answer(response, is_last),
             progresses.Progress(),
         )
 
@@ -103,7 +118,7 @@
         for _ in range(2):
             reply = await connection.exchange(CALL, progresses.Progress())
             response = call_messages.to_response(reply, "front")
-            assert (response.status, response.body) == (201, CALL.body)
+            assert (response.status, response.body) == (201, BODY)
             assert response.levels == (("front", 200),)
             assert connection.is_reusable
             assert not connection.is_stale()
