Keep at most sixteen control links for a node

Cause: every node linked to every other one, so the pings, the handshakes at the start and the idle processor time of a node grew with the fleet.

Change: a node links to the first candidates of its zone and to five nodes outside it. A node that is called for a target which it no longer has puts its own entry into the refusal.

Ruled out: links to all nodes up to a size, which would leave two regimes.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -12,6 +12,7 @@
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import call_messages
+from sassafras_wire.mesh import link_messages
 
 # A peer ends a call this long before the first node does. The peer can tell
 # whether the call may have run, so its response should arrive in time.
@@ -219,6 +220,7 @@
             call.context.deadline + _PEER_GRACE_S,
         )
         response = call_messages.to_response(reply, call.service)
+        _learn_entry(runtime, entry.node_id, reply.entry)
     except errors.SassafrasError as error:
         if runtime.clock.now() >= call.context.deadline:
             return local.deadline_passed(progress)
@@ -230,6 +232,19 @@
     return response
 
 
+def _learn_entry(
+    runtime: runtimes.Runtime,
+    node_id: str,
+    model: link_messages.NodeEntryModel | None,
+) -> None:
+    """Applies the entry in a refusal; a node speaks only for itself.
+
+    The store spreads entries as well, but not during its outages.
+    """
+    if model is not None and model.node_id == node_id:
+        runtime.fleet.update(link_messages.to_entry(model))
+
+
 def _failure(error: errors.SassafrasError) -> messages.CallResponse:
     """Returns the response to a call that its peer did not answer."""
     if isinstance(error, errors.UnreachableError):
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -107,8 +107,11 @@
 ) -> bool:
     """Sends a response; returns whether another call may follow."""
     is_last = runtime.drain.is_draining
+    is_outdated = response.reason is outcomes.Reason.LEAVING
     await connection.send(
-        call_messages.encode_answer(response, is_last),
+        call_messages.encode_answer(
+            response, is_last, runtime.entry if is_outdated else None
+        ),
         progresses.Progress(),
     )
     return not is_last
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -35,7 +35,6 @@
     """Keeps a control link to a node until cancelled."""
     retry_s = _MIN_RETRY_S
     reported = False
-    runtime.unusable_readers.add(entry.node_id)
     while True:
         try:
             async with trio.open_nursery() as nursery:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -2,8 +2,9 @@
 
 Children: `calls` and `links` accept connections, `call-sessions` and
 `link-sessions` serve them. `outgoing` is a supervisor of its own: `roster`
-follows the fleet, and there is one `link:NODE` for each of its nodes and one
-`limits:NODE` for each owner of a token pool; it never gives up, as an
+follows the fleet, and there is one `link:NODE` for each node that
+`policy/mesh/linking.py` chooses and one `limits:NODE` for each owner of a token
+pool; it never gives up, as an
 unreachable node is no fault of this one. A child that fails is restarted alone;
 the calls of running sessions continue.
 """
@@ -20,6 +21,7 @@
 from sassafras_node.mesh.peers import call_session
 from sassafras_node.mesh.peers import link
 from sassafras_node.mesh.peers import link_session
+from sassafras_policy.mesh import linking
 
 # Delay until a new node gets a link, and until a node that is gone loses it.
 _ROSTER_INTERVAL_S = 0.25
@@ -92,18 +94,22 @@
 async def _follow_fleet(
     runtime: runtimes.Runtime, supervisor: supervision.Supervisor
 ) -> None:
-    """Keeps one link for each node, and forgets nodes that are gone."""
+    """Keeps the links to chosen nodes, and forgets nodes that are gone."""
     while True:
         for node_id in runtime.fleet.expire(runtime.clock.now_with_suspend()):
             runtime.forget_node(node_id)
         _update_readers(runtime)
+        linked = linking.choose(
+            runtime.entry, runtime.fleet.entries, runtime.unusable_readers
+        )
         supervisor.reconcile(
             "link:",
             {
                 f"{entry.node_id}/{entry.incarnation}": functools.partial(
                     link.run, runtime, entry
                 )
-                for entry in runtime.fleet.entries
+                for entry in map(runtime.fleet.get, sorted(linked))
+                if entry is not None
             },
         )
         runtime.configure_limiter()
--- a/packages/sassafras-standins/src/sassafras_standins/platform/endpoint.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/endpoint.py
@@ -137,6 +137,12 @@
         status = 500 if failed or self.behaviour.fails else 200
         return self._response(status, request_id, request.body or b"whole body")
 
+    def restart(self) -> None:
+        """Gives it the identity of a new instance at the same address."""
+        self.target_id = f"i-{secrets.token_hex(5)}"
+        self._started_ms = max(self._started_ms + 1, int(time.time() * 1000))
+        self._sequence = 0
+
     async def send_heartbeat(self, sequence: int | None = None) -> int:
         """Sends one heartbeat and returns the status of the response."""
         if sequence is None:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -9,6 +9,8 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.mesh import calls
+from sassafras_policy.mesh import targets
+from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import models
 
 
@@ -67,6 +69,8 @@
         if the call did not reach admission control.
       sub_call_failed: Whether a sub-call of the target failed.
       is_last: Whether the node accepts no more calls on this connection.
+      entry: The node's entry, where it does not have the target that the
+        sending node selected.
     """
 
     type: Literal["mesh_answer"] = "mesh_answer"
@@ -79,6 +83,7 @@
     level: int | None = None
     sub_call_failed: bool = False
     is_last: bool = False
+    entry: link_messages.NodeEntryModel | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,8 +165,18 @@
     return ReceivedCall(call, message.target_id)
 
 
-def encode_answer(response: messages.CallResponse, is_last: bool) -> bytes:
-    """Returns an `AnswerMessage` as bytes."""
+def encode_answer(
+    response: messages.CallResponse,
+    is_last: bool,
+    entry: targets.NodeEntry | None = None,
+) -> bytes:
+    """Returns an `AnswerMessage` as bytes.
+
+    Args:
+      response: The response.
+      is_last: Whether the node accepts no more calls on the connection.
+      entry: The node's entry, if the other node has an outdated one.
+    """
     content: dict[str, object] = {
         "type": "mesh_answer",
         "outcome": response.outcome.value,
@@ -179,6 +194,8 @@
         content["sub_call_failed"] = True
     if is_last:
         content["is_last"] = True
+    if entry is not None:
+        content["entry"] = link_messages.to_model(entry).model_dump(mode="json")
     return cbor2.dumps(content)
 
 
