Divide rates by demand only where all nodes are linked

Cause: with the bounded links of a node learns the demand at eight others. Where a quarter of a rate is divided by demand, up to 17 nodes or with a large burst, each share would be too large and the sum over the rate.

Change: fleets of up to 17 nodes divide rates as before and link all nodes; larger ones pool whole rates.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -100,7 +100,10 @@
             runtime.forget_node(node_id)
         _update_readers(runtime)
         linked = linking.choose(
-            runtime.entry, runtime.fleet.entries, runtime.unusable_readers
+            runtime.entry,
+            runtime.fleet.entries,
+            runtime.unusable_readers,
+            needs_all=runtime.divides_rates,
         )
         supervisor.reconcile(
             "link:",
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -286,6 +286,14 @@
             nursery, entry.link_address, _LIMIT_CONNECT_TIMEOUT_S
         )
 
+    @property
+    def divides_rates(self) -> bool:
+        """Whether this node needs to know the demand at every other node."""
+        return (
+            isinstance(self.limiter, limiters.DemandRecorder)
+            and self.limiter.divides_rates
+        )
+
     @property
     def demand(self) -> dict[str, float]:
         """Requests a second that arrive here, by organisation."""
--- a/packages/sassafras-policy/src/sassafras_policy/limits/demand_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/demand_share.py
@@ -93,6 +93,14 @@
         if now - state.updated_at >= _UPDATE_INTERVAL_S:
             self._update(organisation, now)
 
+    @property
+    def divides_rates(self) -> bool:
+        """See DemandRecorder."""
+        return self._context is not None and any(
+            self._divided_fraction(organisation) > 0.0
+            for organisation in self._context.organisations
+        )
+
     def demand(self, now: float) -> dict[str, float]:
         """See DemandRecorder."""
         return {
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -135,6 +135,11 @@
 class DemandRecorder(Protocol):
     """A limiter that divides rates in proportion to demand at each host."""
 
+    @property
+    def divides_rates(self) -> bool:
+        """Whether the demand at every host is needed for any rate."""
+        ...
+
     def demand(self, now: float) -> dict[str, float]:
         """Returns the requests a second that arrive here, by organisation."""
         ...
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -12,6 +12,9 @@
 # Fraction of a rate in the pool. The rest is divided by demand and serves
 # requests while the pool owner is unreachable.
 _POOL_FRACTION = 0.75
+# Dividing a rate by demand needs a link between every two hosts. In larger
+# fleets the pools get the whole rates.
+_MAX_DIVIDING_HOSTS = 17
 # Fraction of the requests tolerated beyond rate and burst that may cover a
 # bucket of one token at each host.
 _BUCKET_FRACTION = 0.85
@@ -142,6 +145,8 @@
         """
         assert self._context is not None
         hosts = max(1, self._context.hosts)
+        if hosts > _MAX_DIVIDING_HOSTS:
+            return 0.0
         local_fraction = 1.0 - _POOL_FRACTION
         if organisation.burst * local_fraction >= hosts:
             return local_fraction
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/linking.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/linking.py
@@ -26,6 +26,7 @@
     own: targets.NodeEntry,
     entries: Collection[targets.NodeEntry],
     unusable: Collection[str],
+    needs_all: bool,
 ) -> set[str]:
     """Returns the ids of the nodes to link to.
 
@@ -34,7 +35,11 @@
       entries: Entries of the other nodes.
       unusable: Nodes that cannot be reached or do not reach the store. They
         keep their links, so that their return is noticed.
+      needs_all: Whether the node has to know the demand at all others. A share
+        of a rate that is computed from a part of the demand is too large.
     """
+    if needs_all:
+        return {entry.node_id for entry in entries}
     near = [
         entry.node_id
         for entry in entries
--- a/tests/mesh/test_linking.py
+++ b/tests/mesh/test_linking.py
@@ -7,6 +7,10 @@
 
 from common import mesh_fleet
 from common import waiting
+from sassafras_policy.configuration import document
+from sassafras_policy.limits import limiters
+from sassafras_policy.limits import pooled_share
+from sassafras_policy.membership import roster
 from sassafras_policy.mesh import linking
 from sassafras_policy.mesh import readers
 from sassafras_policy.mesh import targets
@@ -32,7 +36,10 @@
     entries = [_entry(number) for number in range(size)]
     return {
         own.node_id: linking.choose(
-            own, [entry for entry in entries if entry is not own], unusable
+            own,
+            [entry for entry in entries if entry is not own],
+            unusable,
+            needs_all=False,
         )
         for own in entries
     }
@@ -80,20 +87,54 @@
     """Guards against nodes whose return nobody notices."""
     own = _entry(0)
     others = [_entry(number) for number in range(1, 195)]
-    before = linking.choose(own, others, ())
+    before = linking.choose(own, others, (), needs_all=False)
     lost = {n for n in before if int(n.split("-")[1]) % _ZONES == 0}
-    after = linking.choose(own, others, lost)
+    after = linking.choose(own, others, lost, needs_all=False)
     assert before <= after
     assert len(after) == len(before) + len(lost)
 
 
+@pytest.mark.parametrize("size", [3, 17, 18, 60, 195])
+@pytest.mark.parametrize("burst", [1.0, 50.0, 5000.0])
+def test_a_rate_is_divided_only_where_all_nodes_are_linked(size, burst):
+    """Guards against shares that add up to more than the rate.
+
+    A node that does not know the demand at half of the others takes twice the
+    share that it is due.
+    """
+    limiter = pooled_share.PooledShare()
+    limiter.configure(
+        limiters.LimiterContext(
+            organisations=(document.Organisation("acme", 50.0, burst),),
+            own_id="node-0",
+            hosts=size,
+            roster=roster.Roster(),
+            settled=True,
+            tolerance=limiters.Tolerance(ratio=0.1, requests=20.0),
+            nodes=tuple(f"node-{n}" for n in range(size)),
+        ),
+        0.0,
+    )
+    chosen = linking.choose(
+        _entry(0),
+        [_entry(number) for number in range(1, size)],
+        (),
+        needs_all=limiter.divides_rates,
+    )
+    assert limiter.divides_rates == (size <= 17)
+    if limiter.divides_rates:
+        assert len(chosen) == size - 1
+    else:
+        assert len(chosen) <= 8
+
+
 def test_leaving_nodes_are_not_linked():
     """Guards against proofs that end with a node which is about to stop."""
     own = _entry(0)
     others = [
         _entry(number, is_leaving=number % 2 == 0) for number in range(1, 40)
     ]
-    chosen = linking.choose(own, others, ())
+    chosen = linking.choose(own, others, (), needs_all=False)
     assert chosen
     assert all(int(node_id.split("-")[1]) % 2 for node_id in chosen)
 
@@ -107,7 +148,7 @@
     The nodes have no link to each other here, as in a large fleet.
     """
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(linking, "choose", lambda *_: set())
+        patch.setattr(linking, "choose", lambda *_, **__: set())
         async with mesh_fleet.running(tmp_path) as fleet:
             await fleet.add_machine("first", service="back")
             await fleet.add_machine("second")
