Look at a bounded number of targets for each call

Cause: where no sampled target of the zone had room, a choice built a candidate for each target of the service; at 92 targets that took 0.3 ms, and only under overload.

Change: a choice looks at two targets of the zone, and else at twenty of all zones. The fleet's index has the targets of a zone. Levels of a route and balancing without ejected targets take shortcuts.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -24,6 +24,9 @@
 _MAX_REFUSALS = 2
 # Targets of the zone that a choice compares while one of them has room.
 _SAMPLE_SIZE = 2
+# Targets of all zones that a choice compares otherwise, so that a choice costs
+# the same for a service of any size.
+_WIDE_SAMPLE_SIZE = 20
 # A second execution is of no use with less time left.
 _MIN_REMAINING_S = 0.05
 
@@ -139,16 +142,13 @@
         and not runtime.target_tracker.is_ejected(own.node_id)
     ):
         return own
-    serving = [
-        entry
-        for entry in runtime.fleet.serving(call.service)
-        if entry.node_id not in history.tried
-    ]
-    if is_own:
-        serving.append(own)
-    choice = _choose_in_zone(runtime, serving)
+    choice = _choose_in_zone(runtime, call.service, history.tried)
     if choice is None:
-        choice = runtime.balancer.choose(_candidates(runtime, serving))
+        others = _untried(runtime.fleet.serving(call.service), history.tried)
+        sample = _sample(runtime, others, _WIDE_SAMPLE_SIZE)
+        if is_own:
+            sample = [*sample, own]
+        choice = runtime.balancer.choose(_candidates(runtime, sample))
     if choice is None:
         return None
     if choice.node_id == own.node_id:
@@ -157,7 +157,7 @@
 
 
 def _choose_in_zone(
-    runtime: runtimes.Runtime, serving: list[targets.NodeEntry]
+    runtime: runtimes.Runtime, service: str, tried: list[str]
 ) -> balancers.Candidate | None:
     """Chooses among a few targets of the zone, if one of them has room.
 
@@ -165,15 +165,31 @@
     looked at, and the cost does not grow with the service.
     """
     zone = runtime.entry.availability_zone
-    near = [entry for entry in serving if entry.availability_zone == zone]
-    if len(near) > _SAMPLE_SIZE:
-        near = runtime.rng.sample(near, _SAMPLE_SIZE)
-    choice = runtime.balancer.choose(_candidates(runtime, near))
+    near = _untried(runtime.fleet.serving(service, zone), tried)
+    choice = runtime.balancer.choose(
+        _candidates(runtime, _sample(runtime, near, _SAMPLE_SIZE))
+    )
     if choice is None or choice.ejected or choice.score >= 1.0:
         return None
     return choice
 
 
+def _untried(
+    entries: list[targets.NodeEntry], tried: list[str]
+) -> list[targets.NodeEntry]:
+    if not tried:
+        return entries
+    return [entry for entry in entries if entry.node_id not in tried]
+
+
+def _sample(
+    runtime: runtimes.Runtime, entries: list[targets.NodeEntry], size: int
+) -> list[targets.NodeEntry]:
+    if len(entries) <= size:
+        return entries
+    return runtime.rng.sample(entries, size)
+
+
 def _candidates(
     runtime: runtimes.Runtime, entries: list[targets.NodeEntry]
 ) -> list[balancers.Candidate]:
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -53,6 +53,8 @@
     targets, and the remaining ones could not take the load of all.
     """
     ejected = [c for c in candidates if c.ejected]
+    if not ejected:
+        return list(candidates)
     ejected.sort(key=lambda c: (-c.errors, c.node_id))
     excluded = {c.node_id for c in ejected[: len(candidates) // 2]}
     return [c for c in candidates if c.node_id not in excluded]
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
@@ -70,11 +70,8 @@
         now: float,
     ) -> bool:
         """Returns whether the service or one downstream would refuse a call."""
-        key = frozenset([_key(service, route)])
-        return (
-            self._levels.refusing_service(key, context, open_level, now)
-            is not None
-        )
+        level = self._levels.value(_key(service, route), open_level, now)
+        return level < open_level and levels.refuses(level, context)
 
 
 def _key(service: str, route: str) -> str:
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
@@ -33,7 +33,9 @@
         self.rewrite_timeout_s = rewrite_timeout_s
         self._own_id = own_id
         self._members: dict[str, Member] = {}
-        self._by_service: dict[str, list[targets.NodeEntry]] | None = None
+        self._serving: dict[tuple[str, str], list[targets.NodeEntry]] | None = (
+            None
+        )
 
     def __len__(self) -> int:
         """Returns the number of other nodes."""
@@ -59,7 +61,7 @@
         if member and member.entry == entry and member.removed_at is None:
             return
         self._members[entry.node_id] = Member(entry)
-        self._by_service = None
+        self._serving = None
 
     @property
     def listed_entries(self) -> list[targets.NodeEntry]:
@@ -92,18 +94,25 @@
         ]
         for node_id in gone:
             del self._members[node_id]
-            self._by_service = None
+            self._serving = None
         return gone
 
-    def serving(self, service: str) -> list[targets.NodeEntry]:
-        """Returns the nodes that take calls for a service."""
-        if self._by_service is None:
-            index: dict[str, list[targets.NodeEntry]] = {}
+    def serving(self, service: str, zone: str = "") -> list[targets.NodeEntry]:
+        """Returns the nodes that take calls for a service.
+
+        Args:
+          service: The service.
+          zone: Availability zone of the nodes; empty for all zones.
+        """
+        if self._serving is None:
+            index: dict[tuple[str, str], list[targets.NodeEntry]] = {}
             for entry in self.entries:
                 if entry.service:
-                    index.setdefault(entry.service, []).append(entry)
-            self._by_service = index
-        return self._by_service.get(service, [])
+                    near = entry.service, entry.availability_zone
+                    index.setdefault(near, []).append(entry)
+                    index.setdefault((entry.service, ""), []).append(entry)
+            self._serving = index
+        return self._serving.get((service, zone), [])
 
 
 def _order(entry: targets.NodeEntry) -> tuple[int, int]:
