Keep the owners of token pools between changes of the fleet

Cause: each node computed the owner of each organisation's pool anew for all nodes whenever one joined, left or was about to leave: 27,300 hashes at 195 nodes and 140 organisations.

Change: a table keeps the owners and computes the weights of nodes that have joined, and all weights of keys whose owner has left.

Measured: tests/properties/test_rendezvous_table.py: the same owners as the hash for 200 sequences of joins and leaves, one hash for each key on a join.

--- a/packages/sassafras-base/src/sassafras_base/hashing.py
+++ b/packages/sassafras-base/src/sassafras_base/hashing.py
@@ -22,5 +22,43 @@
     This is rendezvous hashing: adding or removing a node changes the result
     only for the keys that this node gains or loses.
     """
-    ranked = sorted(nodes, key=lambda node: (-stable_hash(key, node), node))
-    return ranked[:count]
+    return sorted(nodes, key=lambda node: _rank(key, node))[:count]
+
+
+class RendezvousTable:
+    """The node with the highest weight for each of many keys.
+
+    Gives the same nodes as `rendezvous`, and computes only the weights of nodes
+    that have joined, and all weights of keys whose node has left.
+    """
+
+    def __init__(self) -> None:
+        self._nodes: frozenset[str] = frozenset()
+        self._best: dict[str, tuple[int, str]] = {}
+
+    def update(
+        self, keys: Iterable[str], nodes: Iterable[str]
+    ) -> dict[str, str]:
+        """Returns the node of each key.
+
+        Args:
+          keys: The keys; others are forgotten.
+          nodes: The nodes, of which there is at least one.
+        """
+        current = frozenset(nodes)
+        joined = current - self._nodes
+        best: dict[str, tuple[int, str]] = {}
+        for key in keys:
+            previous = self._best.get(key)
+            if previous is None or previous[1] not in current:
+                best[key] = min(_rank(key, node) for node in current)
+            else:
+                ranks = (_rank(key, node) for node in joined)
+                best[key] = min(previous, *ranks) if joined else previous
+        self._nodes = current
+        self._best = best
+        return {key: node for key, (_, node) in best.items()}
+
+
+def _rank(key: str, node: str) -> tuple[int, str]:
+    return -stable_hash(key, node), node
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -79,6 +79,7 @@
         super().__init__()
         self._clients: dict[str, _PoolClient] = {}
         self._pools: dict[str, static_share.TokenBucket] = {}
+        self._owners = hashing.RendezvousTable()
         self._own_id = ""
         self._next_number = 1
 
@@ -95,10 +96,13 @@
         clients: dict[str, _PoolClient] = {}
         pools: dict[str, static_share.TokenBucket] = {}
         factor = 1.0 + context.tolerance.ratio * demand_share.TOLERANCE_FRACTION
+        owners = self._owners.update(
+            [organisation.name for organisation in context.organisations],
+            context.nodes or (context.own_id,),
+        )
         for organisation in context.organisations:
             name = organisation.name
-            nodes = context.nodes or (context.own_id,)
-            owner = hashing.rendezvous(name, nodes, 1)[0]
+            owner = owners[name]
             previous = self._clients.get(name)
             is_same_owner = previous is not None and previous.owner == owner
             clients[name] = (
