--- a/deploy/install.py
+++ b/deploy/install.py
@@ -22,8 +22,8 @@
     "platform/src/sassafras_platform",
 )
 
-# The package `python3.11` of system.toml installs the second one. Compiled
-# libraries in target/deps fit only the version that installed them.
+# Debian's package has the second one. Compiled libraries in target/deps fit only
+# the version that installed them.
 _CANDIDATES = (sys.executable, "/usr/bin/python3.11")
 _DESCRIBE = (
     "import json, sys, sysconfig;"
@@ -80,7 +80,7 @@
 
 
 def main() -> None:
-    """Replaces the copied packages, and compiles all byte code."""
+    """Replaces the copied packages and the link, and compiles byte code."""
     for source in _SOURCES:
         path = pathlib.Path(source)
         copy = _DESTINATION / path.name
