--- a/deploy/install.py
+++ b/deploy/install.py
@@ -22,7 +22,7 @@
     "platform/src/sassafras_platform",
 )
 
-# Debian's package has the second one. Compiled libraries in target/deps fit only
+# The second one is Debian's package. Compiled libraries in target/deps fit only
 # the version that installed them.
 _CANDIDATES = (sys.executable, "/usr/bin/python3.11")
 _DESCRIBE = (
