--- a/tests/mesh/test_processor_admission.py
+++ b/tests/mesh/test_processor_admission.py
@@ -3,7 +3,11 @@
 import random
 
 import pytest
+import trio
 
+from sassafras_base import clock as clocks
+from sassafras_node import drain as drains
+from sassafras_node.mesh import processor_lag
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import processor
 from sassafras_policy.calls import messages
@@ -99,3 +103,30 @@
         admission.record_call(0)
         admission.record_lag(0.0, number * _STEP_S)
     assert admission.level == levels.open_level(_CLASSES)
+
+
+class _Runtime:
+    """The parts of a node that the measurement of the lag uses."""
+
+    def __init__(self):
+        self.clock = clocks.TrioClock()
+        self.drain = drains.make_drain()
+        self.processor = self
+        self.measured = 0
+
+    def record_lag(self, lag_s, now):
+        del lag_s, now
+        self.measured += 1
+
+
+async def test_a_node_without_work_is_rarely_woken():
+    """Guards against timers that take a share of each of many idle nodes."""
+    runtime = _Runtime()
+    with trio.move_on_after(10.0):
+        await processor_lag.run(runtime)
+    assert runtime.measured <= 40
+    runtime.drain.enter()
+    runtime.measured = 0
+    with trio.move_on_after(10.0):
+        await processor_lag.run(runtime)
+    assert runtime.measured >= 190
