--- a/packages/sassafras-node/src/sassafras_node/gc_settings.py
+++ b/packages/sassafras-node/src/sassafras_node/gc_settings.py
@@ -8,7 +8,11 @@
 
 
 def apply() -> None:
-    """Sets the thresholds and freezes current objects; called once at start."""
+    """Sets the thresholds and freezes current objects; called once at start.
+
+    Collections may have been disabled until then.
+    """
     gc.collect()
     gc.freeze()
     gc.set_threshold(*_THRESHOLDS)
+    gc.enable()
