Log the levels that refuse a request at its first node

Change: event 822 with the rank, both levels and the lag; sassafras explain reads it. The decision stays as it was and moves from the runtime to dispatch.

--- a/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
@@ -10,6 +10,7 @@
 causes: registry.Registry[Explainer] = registry.Registry("cause")
 
 _RATE_REFUSED = 821
+_REQUEST_SHED = 822
 _CALL_ENDED = 830
 
 
@@ -53,6 +54,9 @@
 @causes.register("overload")
 def _overloaded(ended: lines.Line, events: list[lines.Line]) -> str:
     refused = [line for line in events if line.event == _CALL_ENDED]
+    shed = _find_event(events, _REQUEST_SHED)
+    if shed is not None:
+        return _describe_shed(shed)
     if not refused:
         return (
             f"service {ended.text('service')}, or one that it calls, had"
@@ -66,6 +70,21 @@
     return f"no room at {refusing_nodes}"
 
 
+def _describe_shed(shed: lines.Line) -> str:
+    rank = int(shed.fields.get("rank", 0))
+    if rank >= int(shed.fields.get("processor_level", 0)):
+        return (
+            f"the processor of {shed.node} was full (rank {rank}, level"
+            f" {shed.text('processor_level')}, loop {shed.text('lag_ms')} ms"
+            " late); the request was sent nowhere"
+        )
+    return (
+        f"service {shed.text('service')}, or one that it calls, was overloaded"
+        f" (rank {rank}, level {shed.text('service_level')}); the request was"
+        " sent nowhere"
+    )
+
+
 @causes.register("no-configuration")
 def _not_confirmed(ended: lines.Line, events: list[lines.Line]) -> str:
     del events
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -3,8 +3,10 @@
 import dataclasses
 
 from sassafras_base import errors
+from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import local
+from sassafras_policy.admission import levels
 from sassafras_policy.balancing import balancers
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -31,6 +33,24 @@
 _MIN_REMAINING_S = 0.05
 
 
+@events.declare(822, "INFO")
+def request_shed(
+    request_id: str,
+    service: str,
+    rank: int,
+    processor_level: int,
+    service_level: int,
+    lag_ms: int,
+) -> str:
+    """A request was refused at its first node before it was sent anywhere.
+
+    It passes if its `rank` is below the level of this node's own processor,
+    whose event loop was `lag_ms` late, and below that of the service and of
+    those that it calls, as far as responses have told it.
+    """
+    return f"request {request_id} shed at its first node"
+
+
 @dataclasses.dataclass(slots=True)
 class SendHistory:
     """Sends of a call so far, for retry decisions and for the log.
@@ -72,7 +92,7 @@
     now = runtime.clock.now()
     runtime.retry_budget.count_request(call.service, now)
     runtime.processor.record_call(call.context.rank)
-    if runtime.is_shed(call):
+    if _is_shed(runtime, call):
         # Refused here, before a node of the service spends time on it.
         return messages.refusal(
             outcomes.Reason.OVERLOAD,
@@ -106,6 +126,26 @@
             return response
 
 
+def _is_shed(runtime: runtimes.Runtime, call: calls.Call) -> bool:
+    """Returns whether a new request is refused before it is sent anywhere.
+
+    A sub-call is not refused: the work done for its request would be lost.
+    """
+    if call.context.depth:
+        return False
+    found = runtime.admission_levels(call)
+    if not any(levels.refuses(level, call.context) for level in found.values()):
+        return False
+    request_shed(
+        call.request_id,
+        call.service,
+        call.context.rank,
+        lag_ms=int(runtime.processor.lag_s * 1000),
+        **found,
+    )
+    return True
+
+
 def _may_send_again(
     runtime: runtimes.Runtime,
     call: calls.Call,
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -15,7 +15,6 @@
 from sassafras_node.mesh.peers import call_pools
 from sassafras_node.mesh.targets import local_target
 from sassafras_node.peers import target_tracking
-from sassafras_policy.admission import levels
 from sassafras_policy.admission import processor
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
@@ -393,23 +392,21 @@
             call.route, own_level, gate.open_level, now
         )
 
-    def is_shed(self, call: calls.Call) -> bool:
-        """Returns whether the received levels refuse a new request.
+    def admission_levels(self, call: calls.Call) -> dict[str, int]:
+        """Returns the levels that a new request has to pass at its first node.
 
-        A sub-call is not refused: the work done for its request would be lost.
+        Returns:
+          The level of this node's processor and that of the service, as far as
+          responses have told it.
         """
-        if call.context.depth:
-            return False
-        now = self.clock.now()
-        if levels.refuses(self.processor.level, call.context):
-            return True
-        return self.downstream_levels.refuses(
-            call.service,
-            call.route,
-            call.context,
-            self.target.gate.open_level,
-            now,
+        open_level = self.target.gate.open_level
+        service_level = self.downstream_levels.level(
+            call.service, call.route, open_level, self.clock.now()
         )
+        return {
+            "processor_level": self.processor.level,
+            "service_level": math.ceil(service_level),
+        }
 
     def publish_entry(self) -> None:
         """Wakes the tasks that send this node's entry to others."""
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
@@ -1,7 +1,6 @@
 """Admission levels of the downstream services that each route calls."""
 
 from sassafras_policy.admission import levels
-from sassafras_policy.calls import messages
 
 # Time constant of the running means. It can be short, as nodes receive hundreds
 # of responses a second from each overloaded service, and should be, as a level
@@ -61,17 +60,18 @@
             level = min(level, int(self._levels.value(key, open_level, now)))
         return level
 
-    def refuses(
-        self,
-        service: str,
-        route: str,
-        context: messages.CallContext,
-        open_level: int,
-        now: float,
-    ) -> bool:
-        """Returns whether the service or one downstream would refuse a call."""
-        level = self._levels.value(_key(service, route), open_level, now)
-        return level < open_level and levels.refuses(level, context)
+    def level(
+        self, service: str, route: str, open_level: int, now: float
+    ) -> float:
+        """Returns the lowest level at a service and downstream of it.
+
+        Args:
+          service: The service.
+          route: Route of the calls.
+          open_level: The level at which every call is admitted.
+          now: The current time.
+        """
+        return self._levels.value(_key(service, route), open_level, now)
 
 
 def _key(service: str, route: str) -> str:
--- a/tests/contract/test_explain.py
+++ b/tests/contract/test_explain.py
@@ -26,6 +26,17 @@
     "version": 7,
     "confirmed_ms": 300,
 }
+SHED = {
+    "time": 100.4,
+    "event": 822,
+    "name": "request_shed",
+    "request_id": "r1",
+    "service": "desk",
+    "rank": 260,
+    "processor_level": 250,
+    "service_level": 255,
+    "lag_ms": 40,
+}
 REFUSED = {
     "time": 100.4,
     "event": 830,
@@ -73,6 +84,12 @@
     ("changes", "events", "expected"),
     [
         ({"reason": "overload"}, [], "sent this one nowhere"),
+        ({"reason": "overload"}, [SHED], "processor of node-a was full"),
+        (
+            {"reason": "overload"},
+            [SHED | {"processor_level": 384}],
+            "service desk, or one that it calls, was overloaded",
+        ),
         ({"reason": "organisation-limit"}, [RATE], "acme sent 90"),
         (
             {"reason": "organisation-limit"},
--- a/tests/mesh/test_downstream_levels.py
+++ b/tests/mesh/test_downstream_levels.py
@@ -5,7 +5,9 @@
 import pytest
 
 from common import mesh_fleet
+from sassafras_node.mesh.calls import dispatch
 from sassafras_platform import front_end
+from sassafras_policy.admission import levels
 from sassafras_policy.calls import messages
 from sassafras_policy.mesh import downstream
 from sassafras_standins.platform import documents
@@ -39,10 +41,10 @@
     tracker = downstream.DownstreamLevels()
     tracker.update("settlement", "lookup", 2 * messages.BUCKET_COUNT, 1.0)
     context = _context()
-    assert tracker.refuses("settlement", "lookup", context, OPEN, 1.0)
-    assert not tracker.refuses("settlement", "settle", context, OPEN, 1.0)
-    important = _context(priority=0)
-    assert not tracker.refuses("settlement", "lookup", important, OPEN, 1.0)
+    level = tracker.level("settlement", "lookup", OPEN, 1.0)
+    assert levels.refuses(level, context)
+    assert not levels.refuses(level, _context(priority=0))
+    assert tracker.level("settlement", "settle", OPEN, 1.0) == OPEN
 
 
 def test_calls_of_a_removed_route_are_forgotten():
@@ -117,3 +119,31 @@
     def __init__(self, route, context):
         self.route = route
         self.context = context
+
+
+@pytest.mark.loopback
+async def test_the_levels_that_refuse_a_request_are_logged(
+    tmp_path, monkeypatch
+):
+    """Guards against refusals whose cause no log line tells.
+
+    In inc-02c0 of klpc-mesh, 630 requests a second were refused at their first
+    nodes, and nothing told a full processor from an overloaded service.
+    """
+    logged = []
+
+    def record(request_id, service, rank, **values):
+        logged.append((request_id, service, values))
+
+    monkeypatch.setattr(dispatch, "request_shed", record)
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        await fleet.wait_until_version(1)
+        await fleet.wait_until_settled()
+        node = fleet.nodes["one"]
+        node.downstream_levels.update("front", "safe", 1, node.clock.now())
+        response = await fleet.send_request("one", request_id="r1")
+        assert response.status == 503
+        ((request_id, service, values),) = logged
+        assert (request_id, service) == ("r1", "front")
+        assert values["service_level"] < values["processor_level"]
