--- a/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
@@ -39,6 +39,13 @@
     rate = float(refused.fields.get("rate_per_s", 0.0))
     demand = float(refused.fields.get("fleet_demand_per_s", 0.0))
     organisation = refused.text("organisation")
+    if float(refused.fields.get("share_per_s", 0.0)) == 0.0:
+        return (
+            f"the pool with all of the {rate:g} requests a second of"
+            f" {organisation} was empty or did not answer in time (failures of"
+            " its link are events 1 of `limits:NODE`); the demand at other"
+            " nodes is not known"
+        )
     if demand > rate:
         return (
             f"{organisation} sent {demand:g} requests a second to the fleet and"
@@ -47,7 +54,7 @@
     return (
         f"{organisation} sent {demand:g} of the {rate:g} requests a second that"
         " it pays for; the node that keeps its tokens may not have been"
-        " reached (events 832)"
+        " reached (events 832, and events 1 of `limits:NODE`)"
     )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -36,7 +36,9 @@
 ) -> str:
     """A request was refused because its organisation is over its rate.
 
-    `share_per_s` is this node's part of the rate, `held` the tokens left.
+    `share_per_s` is this node's part of the rate, `held` the tokens left. Where
+    the share is 0, the whole rate is in a pool at one node, and
+    `fleet_demand_per_s` counts this node only.
     """
     return f"request {request_id} over the rate of {organisation}"
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/change_log.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/change_log.py
@@ -4,7 +4,8 @@
 change, the messages would grow with the square of the fleet.
 """
 
-# A longer log would hold more than the whole list of a large fleet.
+# Bounds the memory where nodes come and go. A node that lacks more changes gets
+# the whole list.
 _MAX_KEYS = 1000
 
 
--- a/tests/contract/test_explain.py
+++ b/tests/contract/test_explain.py
@@ -53,6 +53,7 @@
     "request_id": "r1",
     "organisation": "acme",
     "rate_per_s": 20.0,
+    "share_per_s": 1.2,
     "fleet_demand_per_s": 90.0,
 }
 LOST = {"time": 95.0, "event": 842, "name": "store_lost", "step": "entry"}
@@ -96,6 +97,11 @@
             [RATE | {"fleet_demand_per_s": 9.0}],
             "may not have been reached",
         ),
+        (
+            {"reason": "organisation-limit"},
+            [RATE | {"share_per_s": 0.0, "fleet_demand_per_s": 0.2}],
+            "the pool with all of the 20 requests a second of acme was empty",
+        ),
         ({"reason": "no-configuration"}, [], "for 300 ms"),
         ({"reason": "no-target"}, [], "no target of service desk"),
         ({"reason": "deadline"}, [], "over after 40 ms"),
