--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import standins  # noqa: E402
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib"))
+sys.path.insert(0, str(FOLDER.parent))
 
 import standins  # noqa: E402
 
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 import tomllib
 from urllib import parse
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 HEARTBEAT_S = 1.5
 GRACE_S = 6.0
 TIME_LIMIT_S = 115.0
