--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An endpoint in trouble sends bodies without end, until the caller closes."""
+"""A planned restart of the only node of a zone, whose clients stay."""
 
 import asyncio
 import pathlib
@@ -11,235 +11,180 @@
 
 import standins  # noqa: E402
 
-MEMORY_MB = 300
-# Share of the answers that are spoilt; half of the service's endpoints do so.
-SPOILT_SHARE = 0.05
-# What the endpoint sends of such a body, a tenth of the machine's link.
-BODY_MB_PER_S = 12.5
-DESK_WORK_S = 0.22
-LEDGER_WORK_S = 0.29
-DESK_PER_S = 60.0
-ORDERS_PER_S = 30.0
-TROUBLE_AT_S = 4.0
-END_S = 24.0
+CLIENTS = 200
+# Each client sends a request about this often, on its kept connection. Clients
+# may reuse connections that were idle for four fifths of IdleTimeoutMs (12 s).
+PAUSE_S = 8.0
+WORK_S = 0.3
 DEADLINE_MS = 6000
-TIMEOUT_MS = 5000
-# More such requests than this break the rule.
-ALLOWED = 3
+TERM_AT_S = 10.0
+END_S = 18.0
+# The rule excuses a request that was sent up to this long after the SIGTERM
+# and at which the endpoint was still at work in the last sixth of GraceS.
+EARLY_S = 3.0
 
 
-class EndlessEndpoint(standins.Endpoint):
-    """Runs requests; some of its answers have no end."""
+class Readiness:
+    """The platform's check, once a second, of the nodes of one zone.
 
-    is_spoilt = False
+    After two misses the clients of a machine get no new work, unless fewer than
+    half of the zone's nodes are in.
+    """
 
-    def __init__(self, *args, **arguments):
-        super().__init__(*args, **arguments)
-        self.rng = random.Random(5)
-        self.spoilt = 0
+    def __init__(self, fleet, names):
+        self.fleet = fleet
+        self.misses = dict.fromkeys(names, 0)
 
-    async def respond(self, request_id, writer):
-        if not self.is_spoilt or self.rng.random() >= SPOILT_SHARE:
-            return await super().respond(request_id, writer)
-        self.spoilt += 1
-        self.record.add("endless answer to", request_id)
-        writer.write(
-            b"HTTP/1.1 200 OK\r\n"
-            + f"Request-Id: {request_id}\r\n\r\n".encode()
-        )
-        piece = b"\xa5" * int(BODY_MB_PER_S * 1e6 / 20)
-        try:
-            while True:
-                writer.write(piece)
-                await writer.drain()
-                await asyncio.sleep(0.05)
-        except OSError:
-            raise standins.Closed("the caller has closed") from None
+    async def run(self):
+        while True:
+            for name in self.misses:
+                is_ready = await self.fleet.is_ready(name)
+                self.misses[name] = 0 if is_ready else self.misses[name] + 1
+                self.fleet.record.add("ready" if is_ready else "miss", name)
+            await asyncio.sleep(1.0)
+
+    def gives_work(self, name):
+        nodes_in = sum(misses < 2 for misses in self.misses.values())
+        if nodes_in < len(self.misses) / 2:
+            return True
+        return self.misses[name] < 2
 
 
 class Clients:
-    """Clients of one machine, which share kept connections."""
+    """Clients of one machine, each with one kept connection."""
 
-    def __init__(self, fleet, machine, name, method, path, per_s):
+    def __init__(self, fleet, machine, readiness):
         self.fleet = fleet
         self.machine = machine
-        self.name = name
-        self.call = method, path
-        self.per_s = per_s
-        self.idle = []
-        self.kept = {}
+        self.readiness = readiness
+        self.sent = {}
         self.ended = {}
-        self.tasks = set()
-
-    async def run(self):
-        rng = random.Random(self.name)
-        number = 0
-        while True:
-            await asyncio.sleep(rng.expovariate(self.per_s))
-            number += 1
-            task = asyncio.ensure_future(self.ask(f"{self.name}-{number}"))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
 
-    async def ask(self, request_id):
+    async def run(self, number):
         record = self.fleet.record
-        method, path = self.call
+        rng = random.Random(number)
         connection = None
-        while self.idle and connection is None:
-            connection = self.idle.pop()
-            if connection.is_ended:
-                connection = None
-        is_kept = connection is not None
-        try:
-            if connection is None:
-                connection = await standins.Connection.open(
-                    self.machine.outbound
-                )
-            self.kept[request_id] = is_kept
-            record.add("sent", request_id, "kept" if is_kept else "new")
-            response = await asyncio.wait_for(
-                connection.send(
-                    standins.request(
-                        method,
-                        path,
-                        request_id,
-                        host=standins.HOST,
-                        key="key-of-bank",
-                        deadline_ms=DEADLINE_MS,
+        await asyncio.sleep(rng.random() * PAUSE_S)
+        count = 0
+        while True:
+            if not self.readiness.gives_work(self.machine.name):
+                await asyncio.sleep(0.1)
+                continue
+            count += 1
+            request_id = f"{self.machine.name}-c{number}-{count}"
+            is_kept = connection is not None and not connection.is_ended
+            try:
+                if not is_kept:
+                    connection = await standins.Connection.open(
+                        self.machine.outbound
                     )
-                ),
-                DEADLINE_MS / 1000,
-            )
-            result = str(response.status)
-            if connection.is_open:
-                self.idle.append(connection)
-        except standins.Closed:
-            result = "closed"
-        except TimeoutError:
-            result = "timeout"
-            connection.close() if connection else None
-        except OSError as error:
-            result = f"not connected: {error!r}"
-        self.ended[request_id] = result
-        record.add("ended", request_id, result)
-
-
-async def watch_memory(fleet, name, ends):
-    """Ends a process whose memory exceeds the limit, and starts it again."""
-    largest = 0
-    while True:
-        await asyncio.sleep(0.02)
-        process = fleet.processes[name]
-        if process.returncode is not None:
-            ends.append(f"ended by itself, code {process.returncode}")
-            await asyncio.sleep(0.5)
-            await fleet.start_node(name)
-            continue
-        used = resident_mb(process.pid)
-        if used > largest + 20:
-            largest = used
-            fleet.record.add(f"memory of {name}: {used:.0f} MB")
-        if used > MEMORY_MB:
-            ends.append(f"{used:.0f} MB of {MEMORY_MB}")
-            fleet.record.say(
-                f"node {name} holds {used:.0f} MB, over its limit of"
-                f" {MEMORY_MB} MB: the platform ends it"
-            )
-            fleet.signal(name, signal.SIGKILL)
-            await process.wait()
-            await asyncio.sleep(0.5)
-            await fleet.start_node(name)
-            largest = 0
-
-
-def resident_mb(pid):
+                self.sent[request_id] = record.now()
+                record.add("sent", request_id, "kept" if is_kept else "new")
+                response = await asyncio.wait_for(
+                    connection.send(
+                        standins.request(
+                            "POST",
+                            "/orders/1",
+                            request_id,
+                            host=standins.HOST,
+                            key="key-of-bank",
+                            deadline_ms=DEADLINE_MS,
+                            body=b"order",
+                        )
+                    ),
+                    DEADLINE_MS / 1000,
+                )
+                result = str(response.status)
+            except standins.Closed:
+                result = "closed"
+            except TimeoutError:
+                result = "timeout"
+            except OSError as error:
+                result = f"not connected: {error!r}"
+            self.ended[request_id] = (record.now(), result)
+            record.add("ended", request_id, result)
+            if result in ("closed", "timeout"):
+                connection = None
+            await asyncio.sleep(PAUSE_S * (0.9 + 0.2 * rng.random()))
+
+
+async def restart(fleet, name):
+    """Stops a node as the platform does, and starts it again."""
+    fleet.signal(name, signal.SIGTERM)
     try:
-        for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
+        await asyncio.wait_for(fleet.processes[name].wait(), standins.GRACE_S)
+    except TimeoutError:
+        await fleet.kill(name)
+    fleet.record.say(f"{name} has ended")
+    await asyncio.sleep(0.2)
+    await fleet.start_node(name)
 
 
 async def play(fleet, has_trouble):
     record = fleet.record
-    names = ["desk-1", "desk-2", "ledger-1", "ledger-2"]
-    for name in names:
-        await fleet.add(
-            name, "zone-a", name.partition("-")[0], memory_mb=MEMORY_MB
-        )
-    machines = fleet.machines
+    names = ["front", "ledger-1", "ledger-2"]
+    await fleet.add("front", "zone-a", "front")
+    await fleet.add("ledger-1", "zone-b", "ledger")
+    await fleet.add("ledger-2", "zone-c", "ledger")
     fleet.store.put(
         "op/config",
         standins.configuration(
             1,
-            [
-                ("desk", "/desk/", "desk", "safe", TIMEOUT_MS),
-                ("orders", "/orders/", "ledger", "unsafe", TIMEOUT_MS),
-            ],
+            [("orders", "/orders/", "ledger", "unsafe", 5000)],
             [("bank", ["key-of-bank"], 0, 0)],
         ),
     )
-    faulty = EndlessEndpoint(machines["desk-1"], record, work_s=DESK_WORK_S)
-    sound = [
-        standins.Endpoint(
-            machines[name],
-            record,
-            work_s=DESK_WORK_S if name == "desk-2" else LEDGER_WORK_S,
-        )
-        for name in names[1:]
+    endpoints = [
+        standins.Endpoint(machine, record, work_s=WORK_S)
+        for machine in fleet.machines.values()
     ]
-    for endpoint in (faulty, *sound):
+    for endpoint in endpoints:
         await endpoint.start()
     for name in names:
         await fleet.start_node(name)
     await fleet.wait_ready(names)
     await asyncio.sleep(4.0)
-    desk = Clients(
-        fleet, machines["desk-1"], "desk", "GET", "/desk/1", DESK_PER_S
-    )
-    orders = Clients(
-        fleet, machines["desk-1"], "order", "POST", "/orders/1", ORDERS_PER_S
-    )
-    ends = []
-    tasks = [
-        asyncio.ensure_future(desk.run()),
-        asyncio.ensure_future(orders.run()),
-    ]
-    watches = [
-        asyncio.ensure_future(watch_memory(fleet, name, ends))
-        for name in names
+    readiness = Readiness(fleet, ["front"])
+    clients = Clients(fleet, fleet.machines["front"], readiness)
+    tasks = [asyncio.ensure_future(readiness.run())]
+    tasks += [
+        asyncio.ensure_future(clients.run(number)) for number in range(CLIENTS)
     ]
-    await asyncio.sleep(TROUBLE_AT_S)
-    faulty.is_spoilt = has_trouble
-    await asyncio.sleep(END_S - TROUBLE_AT_S)
+    started = record.now()
+    await asyncio.sleep(TERM_AT_S)
+    term_at = record.now()
+    if has_trouble:
+        record.say("SIGTERM to front, the only node of its zone")
+        tasks.append(asyncio.ensure_future(restart(fleet, "front")))
+    await asyncio.sleep(max(0.0, started + END_S - record.now()))
     for task in tasks:
         task.cancel()
-    await asyncio.sleep(1.0)
-    for task in watches:
-        task.cancel()
-    runs = {run[1] for e in sound for run in e.runs}
-    lost = [
-        request_id
-        for request_id, result in orders.ended.items()
-        if result == "closed" and orders.kept[request_id] and request_id in runs
-    ]
-    answered = sum(r == "200" for r in orders.ended.values())
-    record.say(
-        f"{len(orders.ended)} orders, {answered} answered with 200,"
-        f" {len(faulty.runs)} runs at the faulty endpoint, {faulty.spoilt} of"
-        f" its answers without end, {len(ends)} ends of processes"
-    )
-    if answered < len(orders.ended) / 4:
+    runs = {run[1]: run[0] for e in endpoints for run in e.runs}
+    sent = len(clients.sent)
+    answered = sum(r == "200" for _, r in clients.ended.values())
+    record.say(f"{sent} sent, {answered} answered with 200")
+    if answered < sent / 4:
         raise standins.CannotRun("hardly anything was served")
-    if len(lost) <= ALLOWED:
-        return []
-    return [
-        f"LOST {request_id}: run by a sound endpoint, its kept connection was"
-        " closed without an answer"
-        for request_id in lost
-    ]
+    return list(lost(clients, runs, term_at))
+
+
+def lost(clients, runs, term_at):
+    """Yields the requests that were read, run and never answered."""
+    for request_id, (ended_at, result) in clients.ended.items():
+        sent_at = clients.sent.get(request_id)
+        if result != "closed" or request_id not in runs or sent_at is None:
+            continue
+        after_s = sent_at - term_at
+        if ended_at - term_at > standins.GRACE_S + 1.0:
+            continue
+        at_work_late = ended_at - term_at >= standins.GRACE_S * 5 / 6 - 0.05
+        if after_s <= EARLY_S and at_work_late:
+            continue
+        yield (
+            f"LOST {request_id}: sent {after_s:.3f} s after the SIGTERM, run"
+            f" {runs[request_id] - term_at:.3f} s after it, connection closed"
+            f" without an answer {ended_at - term_at:.3f} s after it"
+        )
 
 
 standins.main(FOLDER, play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -573,13 +573,14 @@
             continue
 
 
-def configuration(version, routes, tenants=()):
+def configuration(version, routes, tenants=(), max_body_bytes=1048576):
     """Returns the operator's configuration.
 
     Args:
       version: Number of the version.
       routes: Rows of name, prefix, service, kind, timeout in ms.
       tenants: Rows of name, keys, rate, burst.
+      max_body_bytes: Largest body that a client may send.
     """
     content = {
         "Version": f"r{version}",
@@ -606,7 +607,7 @@
         },
         "Limits": {
             "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 1048576,
+            "MaxBodyBytes": max_body_bytes,
             "HeaderTimeoutMs": 3000,
             "IdleTimeoutMs": 15000,
         },
