Refuse new requests late in a planned stop, on kept connections too

Cause: a stop closed the listeners only. Kept connections of callers and of other nodes took work until the process ended. Ruled out: a race of the idle count; the end at GraceS - 1 s came with requests in flight, as logged by event 803. Change: from 2.5 s after SIGTERM each request is refused with 503 and a Retry-After delay, except sub-calls of running requests. Accepted work has its deadline before the end. What is left gets a last response: 503 if it waits, 502 if it was sent.

--- a/packages/sassafras-node/src/sassafras_node/drain.py
+++ b/packages/sassafras-node/src/sassafras_node/drain.py
@@ -1,6 +1,7 @@
 """Count of the work in flight, for which a planned stop waits."""
 
 import dataclasses
+import math
 
 import trio
 
@@ -13,11 +14,17 @@
       requested: Set when a planned stop begins.
       in_flight: Number of requests and peer calls that are being served.
       idle: Set while nothing is in flight.
+      refuses_new: Whether requests that arrive from now on are refused, also on
+        connections that are kept open.
+      ends_at: Latest deadline of work that is accepted during a planned stop,
+        on the node's clock; infinite before.
     """
 
     requested: trio.Event
     in_flight: int
     idle: trio.Event
+    refuses_new: bool = False
+    ends_at: float = math.inf
 
     def enter(self) -> None:
         """Counts the start of a request or peer call."""
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -81,6 +81,10 @@
             retry_after_ms=messages.RETRY_AFTER_MS,
         )
     route = table.find(caller_request.host, caller_request.request.path)
+    if runtime.drain.refuses_new and not _is_sub_call(
+        runtime, caller_request, route
+    ):
+        return _leaving_refusal()
     if route is None:
         return _refusal_unless_outdated(runtime, outcomes.Reason.NO_ROUTE, 404)
     organisation: configuration.Organisation | None = None
@@ -150,7 +154,9 @@
         priority = organisation.priority
     name = organisation.account.name if organisation else ""
     service = runtime.routing.service_for(route)
-    deadline = now + time_limit_s - _RESPONSE_MARGIN_S
+    deadline = (
+        min(now + time_limit_s, runtime.drain.ends_at) - _RESPONSE_MARGIN_S
+    )
     depth = 0
     bucket: int | None = None
     if organisation is None:
@@ -211,6 +217,26 @@
     return parent
 
 
+def _is_sub_call(
+    runtime: runtimes.Runtime,
+    caller_request: interfaces.CallerRequest,
+    route: configuration.Route | None,
+) -> bool:
+    """Returns whether the local target needs a request for one that it runs."""
+    return caller_request.parent_id in runtime.running_calls or (
+        route is not None and route.is_open and bool(runtime.running_calls)
+    )
+
+
+def _leaving_refusal() -> messages.CallResponse:
+    return messages.refusal(
+        outcomes.Reason.LEAVING,
+        503,
+        "the node is stopping",
+        retry_after_ms=messages.RETRY_AFTER_MS,
+    )
+
+
 def _refusal_unless_outdated(
     runtime: runtimes.Runtime, reason: outcomes.Reason, status: int
 ) -> messages.CallResponse:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -36,6 +36,7 @@
     current = target.announcement
     if (
         current is None
+        or runtime.drain.refuses_new
         or not target.is_serving
         or current.service != call.service
         or current.target_id != target_id
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -129,7 +129,7 @@
     runtime: runtimes.Runtime, message: call_messages.CallMessage, peer: str
 ) -> messages.CallResponse:
     now = runtime.clock.now()
-    received = call_messages.to_call(message, now)
+    received = call_messages.to_call(message, now, runtime.drain.ends_at)
     call = received.call
     runtime.processor.record_call(call.context.rank)
     response = await local.serve(
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -14,7 +14,6 @@
 
 from sassafras_base import events
 from sassafras_base import supervision
-from sassafras_node import listening
 from sassafras_node.mesh import processor_lag
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.callers import supervisor as callers
@@ -28,12 +27,15 @@
 _READINESS_NOTICE_S = 2.4
 # Time for the update that this node is leaving to arrive at other nodes.
 _UPDATE_DELAY_S = 0.1
-# After this the listeners close even if callers still send requests.
-_LAST_REQUESTS_TIMEOUT_S = 1.2
-# Reserved before the kill for removing the entry, the last log lines and the
-# exit of the interpreter.
+# Calls that are accepted during a planned stop have their deadline this long
+# before the end, so that the target's own response to it still arrives.
+_LAST_DEADLINE_MARGIN_S = 0.1
+# Reserved before the kill for the last responses, removing the entry, the last
+# log lines and the exit of the interpreter.
 _EXIT_MARGIN_S = 1.0
-# Part of that margin for the call that removes the entry.
+# Parts of that margin for the responses to requests that are ended, and for the
+# call that removes the entry.
+_LAST_RESPONSES_TIMEOUT_S = 0.2
 _WITHDRAW_TIMEOUT_S = 0.3
 
 
@@ -49,6 +51,24 @@
     return f"leaving with {in_flight} requests in flight"
 
 
+@events.declare(806, "INFO")
+def mesh_node_refusing(in_flight: int) -> str:
+    """A stopping node refuses requests from now on, except sub-calls.
+
+    Each refusal has the reason `leaving` in event 820.
+    """
+    return f"refusing new requests with {in_flight} in flight"
+
+
+@events.declare(807, "WARNING")
+def mesh_requests_ended(in_flight: int) -> str:
+    """The grace time is over; the requests left get their last response.
+
+    A request that was sent to a target gets a 502, any other a 503.
+    """
+    return f"ending {in_flight} requests at the end of the grace time"
+
+
 @events.declare(803, "INFO")
 def mesh_node_stopped(in_flight: int) -> str:
     """The node has stopped."""
@@ -100,7 +120,7 @@
             )
             task_status.started()
             await runtime.drain.requested.wait()
-            await _leave(runtime, [caller_listeners[0], call_listener])
+            await _leave(runtime)
             nursery.cancel_scope.cancel()
     finally:
         with trio.CancelScope(shield=True):
@@ -108,28 +128,48 @@
                 listener.close()
 
 
-async def _leave(
-    runtime: runtimes.Runtime, listeners: list[listening.Listener]
-) -> None:
+async def _leave(runtime: runtimes.Runtime) -> None:
     """Finishes the requests in flight before the process is killed.
 
     The local target often keeps running, and is unreachable until the next
     process has started, so other nodes are redirected as late as possible.
     Until its last request has ended the target makes sub-calls, which arrive
-    at the same listener as new requests.
+    at the same listener as new requests. The listeners stay open, as a refusal
+    tells a caller when to come back and a closed port does not.
     """
-    mesh_node_leaving(runtime.drain.in_flight)
+    drain = runtime.drain
+    mesh_node_leaving(drain.in_flight)
     left_s = runtime.settings.bounds.grace_s - _EXIT_MARGIN_S
+    drain.ends_at = runtime.clock.now() + left_s - _LAST_DEADLINE_MARGIN_S
     with trio.move_on_after(left_s):
         await trio.sleep(_READINESS_NOTICE_S)
         runtime.is_leaving = True
         runtime.publish_entry()
-        with trio.move_on_after(_LAST_REQUESTS_TIMEOUT_S):
-            await trio.sleep(_UPDATE_DELAY_S)
-            await runtime.drain.idle.wait()
-        for listener in listeners:
-            listener.close()
-        await runtime.drain.idle.wait()
+        await trio.sleep(_UPDATE_DELAY_S)
+        drain.refuses_new = True
+        mesh_node_refusing(drain.in_flight)
+        await _wait_until_idle(runtime)
+    if drain.in_flight:
+        await _end_requests(runtime)
     with trio.move_on_after(_WITHDRAW_TIMEOUT_S):
         await own_entry.withdraw(runtime)
-    mesh_node_stopped(runtime.drain.in_flight)
+    mesh_node_stopped(drain.in_flight)
+
+
+async def _wait_until_idle(runtime: runtimes.Runtime) -> None:
+    # A request that arrives as the last one ends is in flight again.
+    while runtime.drain.in_flight:
+        await runtime.drain.idle.wait()
+
+
+async def _end_requests(runtime: runtimes.Runtime) -> None:
+    """Gives each request that is left its last response.
+
+    Without it their connections would end without an answer, and callers could
+    not tell the requests that wait for a slot from those that run.
+    """
+    mesh_requests_ended(runtime.drain.in_flight)
+    runtime.target.gate.close()
+    runtime.call_deadlines.end_all()
+    with trio.move_on_after(_LAST_RESPONSES_TIMEOUT_S):
+        await _wait_until_idle(runtime)
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -56,6 +56,7 @@
         self._policy = policy
         self._clock = clock
         self._waiters: dict[queueing.Ticket, _Waiter] = {}
+        self._is_closed = False
         self._overloaded = False
         self._logged_at = -_LOG_INTERVAL_S
 
@@ -88,6 +89,8 @@
 
         An admitted call holds a slot until `leave` or `leave_with_error`.
         """
+        if self._is_closed:
+            return AdmissionResult.REFUSED
         decision = self._policy.decide(context, self._clock.now())
         self._log_change(decision.level)
         if decision.displaced is not None:
@@ -98,6 +101,15 @@
             return AdmissionResult.REFUSED
         return await self._wait(decision.ticket)
 
+    def close(self) -> None:
+        """Refuses the calls that wait for a slot, and all later ones."""
+        self._is_closed = True
+        now = self._clock.now()
+        while self._waiters:
+            ticket = next(iter(self._waiters))
+            self._settle(ticket, AdmissionResult.REFUSED)
+            self._policy.abandon(ticket, now)
+
     def pause(self) -> None:
         """Records that a running call now waits for another service."""
         self._policy.paused()
--- a/packages/sassafras-wire/src/sassafras_wire/http/deadlines.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/deadlines.py
@@ -23,6 +23,7 @@
         self._interval_s = interval_s
         self._deadlines: dict[sockets.SocketStream, float] = {}
         self._has_deadlines = trio.Event()
+        self._has_ended = False
 
     async def run(self) -> None:
         """Checks the deadlines until cancelled."""
@@ -35,6 +36,9 @@
 
     def set(self, stream: sockets.SocketStream, deadline: float) -> None:
         """Closes a connection at a time on trio's clock, unless cleared."""
+        if self._has_ended:
+            stream.close()
+            return
         self._deadlines[stream] = deadline
         self._has_deadlines.set()
 
@@ -42,6 +46,13 @@
         """Removes the deadline of a connection."""
         self._deadlines.pop(stream, None)
 
+    def end_all(self) -> None:
+        """Closes all connections with a deadline, and further ones at once."""
+        self._has_ended = True
+        while self._deadlines:
+            stream, _ = self._deadlines.popitem()
+            stream.close()
+
     def _close_overdue(self) -> None:
         now = trio.current_time()
         overdue = [
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -1,6 +1,7 @@
 """Messages of a call between two nodes, and their conversions."""
 
 import dataclasses
+import math
 from typing import Literal
 
 import cbor2
@@ -135,12 +136,15 @@
     return cbor2.dumps(content)
 
 
-def to_call(message: CallMessage, now: float) -> ReceivedCall:
+def to_call(
+    message: CallMessage, now: float, latest_deadline: float = math.inf
+) -> ReceivedCall:
     """Returns the call in a message.
 
     Args:
       message: The message.
       now: Time of receipt in seconds on this node's clock.
+      latest_deadline: When the call ends at the latest, on that clock.
     """
     call = calls.Call(
         request=messages.Request(
@@ -155,7 +159,7 @@
             organisation=message.organisation,
             priority=message.priority,
             bucket=message.bucket,
-            deadline=now + message.remaining_ms / 1000,
+            deadline=min(now + message.remaining_ms / 1000, latest_deadline),
             depth=message.depth,
             at_most_once=not message.is_idempotent,
         ),
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -62,6 +62,7 @@
         self.endpoints: dict[str, endpoint.Endpoint] = {}
         self.nodes: dict[str, runtimes.Runtime] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
+        self._ended: dict[str, trio.Event] = {}
         self._nursery = nursery
         self._folder = folder
         self._numbers = 0
@@ -101,8 +102,13 @@
         node.processor = _IdleProcessor()
         self.nodes[name] = node
         self._scopes[name] = trio.CancelScope()
+        self._ended[name] = trio.Event()
         await self._nursery.start(self._run, name, node)
 
+    async def wait_until_ended(self, name: str) -> None:
+        """Waits until a node has stopped or was killed."""
+        await self._ended[name].wait()
+
     def kill_node(self, name: str) -> None:
         """Cancels a node without a planned stop, like a crash."""
         self._scopes[name].cancel()
@@ -184,8 +190,10 @@
         *,
         task_status: trio.TaskStatus[None],
     ) -> None:
+        ended = self._ended[name]
         with self._scopes[name]:
             await supervisor.run(node, task_status=task_status)
+        ended.set()
 
 
 @contextlib.asynccontextmanager
