Remember a target's departure across restarts of its node

Cause: an acknowledged departure was known to the process only; the next one believed the first heartbeat. A planned stop even removed the entry. Ruled out: the order of announcements within one process, which holds. Change: a node restores the local target from its own entry before it overwrites it and before it believes a ready heartbeat. Departures are acknowledged once the store has them. A planned stop leaves the entry of a departed target to expire.

--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -81,6 +81,9 @@
       drain: Work in flight and planned stop.
       lease: Lease of this node's entry; 0 for none.
       entry_revision: Revision of the store at which it was written last.
+      stored_entry_number: Number of this node's entry in the store; 0 while the
+        store has none.
+      entry_stored: Set and replaced when the entry has been written.
       readers: Which nodes of the zone read the store for the others.
       unusable_readers: Nodes that cannot be reached or do not reach the store.
       reaches_store: Whether the last call to the store was answered.
@@ -148,6 +151,8 @@
         self.is_fleet_loaded = False
         self.lease = 0
         self.entry_revision = 0
+        self.stored_entry_number = 0
+        self.entry_stored = trio.Event()
         self.readers = readers.ZoneReaders(
             settings.host.node_id, (settings.host.node_id,)
         )
@@ -413,6 +418,19 @@
         changed, self.entry_changed = self.entry_changed, trio.Event()
         changed.set()
 
+    def record_stored_entry(self, number: int, revision: int) -> None:
+        """Records which entry of this node the store has.
+
+        Args:
+          number: Number of the entry.
+          revision: Revision of the store at which it was written.
+        """
+        self.stored_entry_number = number
+        self.entry_revision = revision
+        self.own_entry_removed = trio.Event()
+        stored, self.entry_stored = self.entry_stored, trio.Event()
+        stored.set()
+
     def publish_relay(self) -> None:
         """Wakes the tasks that pass on what this node has read."""
         changed, self.relay_changed = self.relay_changed, trio.Event()
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -153,11 +153,26 @@
         listing.revision,
     )
     runtime.member_changes.restart(listing.revision)
+    if not runtime.target.restored.is_set():
+        _restore_target(runtime, listing)
     runtime.is_fleet_loaded = True
     runtime.configure_limiter()
     return listing.revision
 
 
+def _restore_target(
+    runtime: runtimes.Runtime, listing: interfaces.Listing
+) -> None:
+    """Restores the local target from the entry of this node's last process."""
+    own_key = entries.key_of(runtime.settings.host.node_id)
+    for item in listing.items:
+        if item.key == own_key and item.value is not None:
+            previous = entries.decode(item.value)
+            if previous is not None:
+                runtime.target.restore(previous.target)
+    runtime.target.restored.set()
+
+
 def _apply(runtime: runtimes.Runtime, item: interfaces.Item) -> None:
     node_id = entries.node_of(item.key)
     runtime.member_changes.record(node_id, item.revision)
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -6,6 +6,7 @@
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import entries
 from sassafras_node.mesh.store import outages
+from sassafras_policy.mesh import targets
 from sassafras_wire.store import client as store_client
 
 # A node that has lost the store stops serving requests with keys after some
@@ -33,13 +34,18 @@
 
 
 async def run(runtime: runtimes.Runtime) -> None:
-    """Keeps the entry until cancelled."""
+    """Keeps the entry until cancelled.
+
+    The entry of the previous process is read before it is overwritten.
+    """
+    await runtime.target.restored.wait()
     with trio.move_on_after(_FIRST_WRITE_DELAY_S):
         await runtime.entry_changed.wait()
     outage_log = outages.OutageLog("entry")
     while True:
         try:
             await _maintain_lease(runtime, outage_log)
+            runtime.stored_entry_number = 0
             entry_lapsed()
         except store_client.StoreUnavailableError as error:
             outage_log.record_failure(error)
@@ -65,14 +71,14 @@
     written: bytes | None = None
     while True:
         changed = runtime.entry_changed
-        value = entries.encode(runtime.entry)
+        entry = runtime.entry
+        value = entries.encode(entry)
         if value != written:
             revision = await _write(runtime, value, revision, lease)
             if revision == 0:
                 return
             written = value
-            runtime.entry_revision = revision
-            runtime.own_entry_removed = trio.Event()
+            runtime.record_stored_entry(entry.number, revision)
             outage_log.record_success()
             entry_written(revision, _state(runtime))
         await _wait(runtime, changed, ttl_s / _RENEWALS_PER_LEASE)
@@ -139,8 +145,14 @@
 
 
 async def withdraw(runtime: runtimes.Runtime) -> None:
-    """Ends the lease, and with it the entry, before the node stops."""
-    if not runtime.lease:
+    """Ends the lease, and with it the entry, before the node stops.
+
+    The entry of a node whose target has left stays until the lease expires, so
+    that the next process does not take a late announcement for a new one.
+    """
+    target = runtime.entry.target
+    has_left = target is not None and target.state is not targets.State.READY
+    if not runtime.lease or has_left:
         return
     try:
         await runtime.platform.store.revoke_lease(runtime.lease)
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
@@ -1,5 +1,7 @@
 """Serves the announcements of the local target on one connection."""
 
+import trio
+
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_node import http_session
@@ -9,6 +11,9 @@
 from sassafras_policy.mesh import targets
 from sassafras_wire.http import sockets
 
+# Targets take an acknowledgement after a second for a missing one.
+_STORE_TIMEOUT_S = 0.8
+
 
 @events.declare(810, "INFO")
 def target_announced(
@@ -33,6 +38,16 @@
     return f"announcement from {peer} refused: {error}"
 
 
+@events.declare(813, "WARNING")
+def announcement_deferred(target_id: str) -> str:
+    """An announcement was not acknowledged, as the store is not reached.
+
+    After a start, it may be an old one of a target that has left. A departure
+    takes effect at once, but would be forgotten if this process ended.
+    """
+    return f"announcement of target {target_id} not acknowledged"
+
+
 async def serve(
     runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
 ) -> None:
@@ -62,15 +77,51 @@
         return messages.refusal(
             outcomes.Reason.NO_ROUTE, 404, "no such call for targets"
         )
-    if message.announcement is None:
+    announcement = message.announcement
+    if announcement is None:
         if runtime.target.mark_gone(message.target_id):
             target_announced(
                 message.target_id, "", str(targets.State.GONE), 0, 0
             )
             runtime.publish_entry()
+        is_recorded = await _is_entry_stored(runtime)
+    elif announcement.state is targets.State.READY:
+        is_recorded = await _is_restored(runtime)
+        if is_recorded:
+            await _apply(runtime, announcement)
+    else:
+        await _apply(runtime, announcement)
+        is_recorded = await _is_entry_stored(runtime)
+    if is_recorded:
         return runtime.platform.codecs.acknowledgement()
-    await _apply(runtime, message.announcement)
-    return runtime.platform.codecs.acknowledgement()
+    announcement_deferred(message.target_id)
+    return messages.refusal(
+        outcomes.Reason.NO_CONFIGURATION,
+        503,
+        "the store is not reached; announce again",
+        retry_after_ms=messages.RETRY_AFTER_MS,
+    )
+
+
+async def _is_restored(runtime: runtimes.Runtime) -> bool:
+    """Waits until the node knows what its previous process published."""
+    if runtime.target.restored.is_set():
+        return True
+    with trio.move_on_after(_STORE_TIMEOUT_S):
+        await runtime.target.restored.wait()
+    return runtime.target.restored.is_set()
+
+
+async def _is_entry_stored(runtime: runtimes.Runtime) -> bool:
+    """Waits until the store has the current entry of this node.
+
+    An acknowledged departure that only this process knows is lost with it.
+    """
+    number = runtime.entry.number
+    with trio.move_on_after(_STORE_TIMEOUT_S):
+        while runtime.stored_entry_number < number:
+            await runtime.entry_stored.wait()
+    return runtime.stored_entry_number >= number
 
 
 async def _apply(
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -1,5 +1,9 @@
 """Announcement, connections and admission of the local target."""
 
+import math
+
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_node.mesh import settings as mesh_settings
 from sassafras_node.targets import gate as gates
@@ -22,6 +26,9 @@
     Attributes:
       gate: Admits calls.
       pool: Connections to the target.
+      restored: Set when the node knows what its previous process published.
+        Before that, an announcement may be a late one of a target that has
+        left.
     """
 
     def __init__(
@@ -35,7 +42,8 @@
         self._clock = clock
         self._register = targets.LocalTargetRegister()
         self._published: targets.Announcement | None = None
-        self._announced_at = 0.0
+        self._announced_at = -math.inf
+        self.restored = trio.Event()
         self._class_count = 1
         self.gate = self._new_gate(1)
         self.pool = self._new_pool()
@@ -61,10 +69,27 @@
         return (
             current is not None
             and current.state is targets.State.READY
-            and self._clock.now() - self._announced_at
-            < _SILENT_INTERVALS * self._settings.bounds.announcement_interval_s
+            and self._clock.now() - self._announced_at < self._silence_limit_s
         )
 
+    @property
+    def _silence_limit_s(self) -> float:
+        return _SILENT_INTERVALS * self._settings.bounds.announcement_interval_s
+
+    def restore(self, previous: targets.Announcement | None) -> None:
+        """Takes over what the previous process of the node published.
+
+        A target that had left stays unused. One that was ready is used again
+        after its next announcement.
+        """
+        if (
+            previous is not None
+            and self._register.restore(previous)
+            and previous.state is not targets.State.READY
+        ):
+            self._published = previous
+        self.restored.set()
+
     def set_class_count(self, class_count: int) -> None:
         """Applies the number of ranks of a new configuration."""
         if class_count != self._class_count:
@@ -75,27 +100,34 @@
     async def announce(self, announcement: targets.Announcement) -> bool:
         """Applies an announcement; returns whether to publish it."""
         previous = self._register.current
-        if not self._register.offer(announcement):
+        now = self._clock.now()
+        if not self._register.offer(announcement, now):
             return False
-        self._announced_at = self._clock.now()
+        self._announced_at = now
         if (
             previous is None
             or previous.target_id != announcement.target_id
-            or (previous.started_ms != announcement.started_ms)
+            or previous.started_ms != announcement.started_ms
+            or self._published is None
         ):
             await self.pool.close()
             self.pool = self._new_pool()
             self.gate = self._new_gate(announcement.capacity)
         elif previous.capacity != announcement.capacity:
             self.gate.resize(announcement.capacity, self._class_count)
-        elif previous.state is announcement.state:
+        published = self._published
+        if published is not None and _is_same(published, announcement):
             return False
         self._published = announcement
         return True
 
     def mark_gone(self, target_id: str) -> bool:
         """Marks the target as gone; returns whether it was the current one."""
-        if not self._register.mark_gone(target_id):
+        if not self._register.mark_gone(
+            target_id,
+            int(self._clock.wall() * 1000),
+            self._clock.now() + self._silence_limit_s,
+        ):
             return False
         self._published = self._register.current
         return True
@@ -115,3 +147,15 @@
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             monitor=self._monitor,
         )
+
+
+def _is_same(
+    published: targets.Announcement, announcement: targets.Announcement
+) -> bool:
+    """Returns whether other nodes know all that they use of a target."""
+    return (
+        published.target_id == announcement.target_id
+        and published.started_ms == announcement.started_ms
+        and published.capacity == announcement.capacity
+        and published.state is announcement.state
+    )
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/targets.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/targets.py
@@ -72,6 +72,17 @@
         return self.target.service
 
 
+# Targets of one host follow each other, so more have not left within the time
+# that a late announcement takes.
+_MAX_DEPARTURES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Departure:
+    departed_ms: int
+    forgotten_at: float
+
+
 class LocalTargetRegister:
     """Keeps the current announcement of a node's local target.
 
@@ -81,28 +92,69 @@
 
     def __init__(self) -> None:
         self._current: Announcement | None = None
+        self._departures: dict[str, _Departure] = {}
 
     @property
     def current(self) -> Announcement | None:
         """The current announcement, or None."""
         return self._current
 
-    def offer(self, announcement: Announcement) -> bool:
-        """Stores an announcement and returns True, unless it is outdated."""
-        current = self._current
-        if current is not None and not _supersedes(current, announcement):
+    def restore(self, announcement: Announcement) -> bool:
+        """Sets what an earlier process of the node knew.
+
+        Returns:
+          Whether it was used; it is not after an announcement.
+        """
+        if self._current is not None:
             return False
         self._current = announcement
         return True
 
-    def mark_gone(self, target_id: str) -> bool:
-        """Marks a target as gone; returns whether it is the current one."""
+    def offer(self, announcement: Announcement, now: float) -> bool:
+        """Stores an announcement and returns True, unless it is outdated.
+
+        Args:
+          announcement: The announcement.
+          now: Time on a steady clock, in seconds.
+        """
+        departure = self._departures.get(announcement.target_id)
+        if (
+            departure is not None
+            and now < departure.forgotten_at
+            and announcement.started_ms <= departure.departed_ms
+        ):
+            return False
         current = self._current
-        if current is None or current.target_id != target_id:
+        if current is not None and not _supersedes(current, announcement):
             return False
-        self._current = dataclasses.replace(current, state=State.GONE)
+        self._current = announcement
         return True
 
+    def mark_gone(
+        self, target_id: str, departed_ms: int, forgotten_at: float
+    ) -> bool:
+        """Marks a target as gone; returns whether it is the current one.
+
+        A target that the node has not heard of has deregistered before its
+        last announcement arrived, so it is remembered.
+
+        Args:
+          target_id: The target.
+          departed_ms: Time of day in Unix milliseconds; a later start under the
+            same id is another instance.
+          forgotten_at: Time on the clock of `offer` after which no announcement
+            of the target can be on its way.
+        """
+        current = self._current
+        if current is not None and current.target_id == target_id:
+            self._current = dataclasses.replace(current, state=State.GONE)
+            return True
+        self._departures.pop(target_id, None)
+        self._departures[target_id] = _Departure(departed_ms, forgotten_at)
+        if len(self._departures) > _MAX_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+        return False
+
 
 def _supersedes(current: Announcement, new: Announcement) -> bool:
     if new.started_ms != current.started_ms:
--- a/tests/mesh/test_decisions.py
+++ b/tests/mesh/test_decisions.py
@@ -1,6 +1,10 @@
 """Routing, announcements, fleet and budgets of a mesh node, without sockets."""
 
 import collections
+import functools
+
+import hypothesis
+from hypothesis import strategies
 
 from sassafras_base import hashing
 from sassafras_policy.configuration import document
@@ -82,29 +86,91 @@
     )
 
 
+def _offer(register, announcement, now=0.0):
+    return register.offer(announcement, now)
+
+
+def _mark_gone(register, target_id, departed_ms=5000, forgotten_at=9.0):
+    return register.mark_gone(target_id, departed_ms, forgotten_at)
+
+
 def test_late_announcements_are_ignored():
     """Guards against a target that a delayed message reinstates."""
     register = targets.LocalTargetRegister()
-    assert register.offer(_announcement(5, started_ms=2000, target_id="new"))
-    assert not register.offer(_announcement(9, target_id="old"))
-    assert not register.offer(
-        _announcement(4, started_ms=2000, target_id="new")
-    )
-    assert register.mark_gone("new")
-    assert not register.offer(
-        _announcement(6, started_ms=2000, target_id="new")
-    )
-    assert register.offer(_announcement(1, started_ms=3000, target_id="new"))
+    new = functools.partial(_announcement, started_ms=2000, target_id="new")
+    assert _offer(register, new(5))
+    assert not _offer(register, _announcement(9, target_id="old"))
+    assert not _offer(register, new(4))
+    assert _mark_gone(register, "new")
+    assert not _offer(register, new(6))
+    assert _offer(register, new(1, started_ms=3000))
 
 
 def test_a_deregistration_of_an_earlier_target_is_ignored():
     """Guards against a late message that removes the new target."""
     register = targets.LocalTargetRegister()
-    register.offer(_announcement(1, target_id="new"))
-    assert not register.mark_gone("old")
+    _offer(register, _announcement(1, target_id="new"))
+    assert not _mark_gone(register, "old")
     assert register.current.state is targets.State.READY
 
 
+def test_a_deregistration_before_any_announcement_is_remembered():
+    """Guards against a target that its last, late announcement reinstates.
+
+    Its next start under the same id is another instance, and after some time
+    no announcement can be late any more.
+    """
+    register = targets.LocalTargetRegister()
+    assert not _mark_gone(register, "i", departed_ms=5000, forgotten_at=9.0)
+    assert not _offer(register, _announcement(7, started_ms=5000), now=8.9)
+    assert register.current is None
+    assert _offer(register, _announcement(1, started_ms=5001), now=1.0)
+    other = targets.LocalTargetRegister()
+    _mark_gone(other, "i", departed_ms=5000, forgotten_at=9.0)
+    assert _offer(other, _announcement(7, started_ms=4000), now=9.0)
+
+
+@hypothesis.given(
+    order=strategies.permutations(["ready-1", "ready-2", "departure"]),
+    restart_at=strategies.integers(1, 3),
+    departs_by=strategies.sampled_from(["leaving", "gone"]),
+)
+@hypothesis.settings(derandomize=True, max_examples=100)
+def test_no_order_and_no_restart_reinstates_a_target(
+    order, restart_at, departs_by
+):
+    """Guards against a target that is in use after its departure (DRAIN).
+
+    A review found it reinstated by a late announcement after its node had been
+    killed: the new process knew nothing of what the old one had acknowledged.
+    """
+    known = _announcement(1, started_ms=500, target_id="earlier")
+    register = targets.LocalTargetRegister()
+    register.restore(known)
+    has_departed = False
+    for position, message in enumerate(order):
+        if position == restart_at:
+            stored = register.current
+            register = targets.LocalTargetRegister()
+            register.restore(stored)
+        if message == "departure":
+            has_departed = True
+            if departs_by == "gone":
+                _mark_gone(register, "i")
+            else:
+                _offer(register, _announcement(3, state="leaving"))
+        else:
+            _offer(register, _announcement(int(message[-1])))
+        current = register.current
+        if (
+            has_departed
+            and current.target_id == "i"
+            # An unknown target that deregisters leaves nothing to be stored.
+            and not (departs_by == "gone" and order[0] == "departure")
+        ):
+            assert current.state is not targets.State.READY
+
+
 def test_keys_are_not_trusted_beyond_the_revocation_bound():
     """Guards against a process that accepts old keys after a suspension."""
     proof = freshness.Freshness(revocation_s=5.0)
