Check the ranges and names in entries and announcements of other writers

Cause: the models at the border checked types only. A port out of range raised OverflowError in the session of a caller, which ended without a response. Ruled out: deep nesting and bytes that are no text, which were refused. Change: ranges in the models, names of keys, service and address of this host, no starts in the future; invalid relayed entries are left out one by one; a replaced own entry is written again; an address that cannot be opened counts as unreachable.

--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -7,6 +7,7 @@
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import entries
 from sassafras_node.mesh.store import outages
+from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.store import client as store_client
 
@@ -24,7 +25,11 @@
 
 @events.declare(846, "WARNING")
 def entry_unreadable(key: str) -> str:
-    """An entry in the store is not valid; its node is ignored."""
+    """An entry in the store is not that of its node; it is ignored.
+
+    It cannot be read, has numbers or addresses out of range, names another
+    node or an incarnation in the future.
+    """
     return f"entry {key} is not valid"
 
 
@@ -106,6 +111,7 @@
         members_unreadable(source)
         return
     for entry in relayed:
+        _restore_own_entry(runtime, entry, update.revision)
         runtime.fleet.update(entry)
     runtime.members_revision = update.revision
     known = {entry.node_id for entry in relayed}
@@ -180,7 +186,35 @@
         _lapse(runtime, node_id, item.revision)
         return
     entry = entries.decode(item.value)
-    if entry is None:
+    if entry is None or not _is_plausible(runtime, entry, node_id):
         entry_unreadable(item.key)
-    else:
-        runtime.fleet.update(entry)
+        return
+    _restore_own_entry(runtime, entry, item.revision)
+    runtime.fleet.update(entry)
+
+
+def _is_plausible(
+    runtime: runtimes.Runtime, entry: targets.NodeEntry, node_id: str
+) -> bool:
+    """Returns whether an entry may be the one that its node has written.
+
+    One of a later incarnation displaces the node's own entry.
+    """
+    now_ms = runtime.clock.wall() * 1000
+    return (
+        entry.node_id == node_id
+        and entry.incarnation <= now_ms + targets.MAX_CLOCK_SKEW_MS
+    )
+
+
+def _restore_own_entry(
+    runtime: runtimes.Runtime, entry: targets.NodeEntry, revision: int
+) -> None:
+    """Has this node's entry written again if another writer replaced it."""
+    own = runtime.entry
+    if (
+        entry.node_id == own.node_id
+        and entry.incarnation != own.incarnation
+        and 0 < runtime.entry_revision < revision
+    ):
+        runtime.own_entry_removed.set()
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
@@ -78,6 +78,17 @@
             outcomes.Reason.NO_ROUTE, 404, "no such call for targets"
         )
     announcement = message.announcement
+    if announcement is not None:
+        host = runtime.settings.host
+        fault = targets.find_fault(
+            announcement,
+            host.target_service,
+            host.target_address,
+            runtime.clock.wall() * 1000,
+        )
+        if fault:
+            announcement_refused(peer, fault)
+            return messages.refusal(outcomes.Reason.BAD_REQUEST, 400, fault)
     if announcement is None:
         if runtime.target.mark_gone(message.target_id):
             target_announced(
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/targets.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/targets.py
@@ -37,6 +37,35 @@
     started_ms: int
 
 
+# Clocks of two hosts may differ, and one may step back after a start.
+MAX_CLOCK_SKEW_MS = 60_000
+
+
+def find_fault(
+    announcement: Announcement, service: str, address: str, now_ms: float
+) -> str:
+    """Returns why an announcement cannot be that of the local target.
+
+    Another writer's announcement of a later start would displace the target.
+
+    Args:
+      announcement: The announcement.
+      service: The service of the local target.
+      address: The address of the local target.
+      now_ms: Time of day in Unix milliseconds.
+
+    Returns:
+      The fault; empty for none.
+    """
+    if announcement.service != service:
+        return f"service {announcement.service!r} is not this host's"
+    if announcement.address != address:
+        return f"address {announcement.address!r} is not this host's target"
+    if announcement.started_ms > now_ms + MAX_CLOCK_SKEW_MS:
+        return f"a start at {announcement.started_ms} ms is in the future"
+    return ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeEntry:
     """What a node publishes about itself and its local target.
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -83,11 +83,12 @@
     Raises:
       UnreachableError: The server did not accept within the timeout.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         with trio.fail_after(timeout_s):
             return await sockets.SocketStream.connect(host, port)
-    except (OSError, trio.TooSlowError) as error:
+    except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
+        # The last but one is for a port out of range.
         raise errors.UnreachableError(
             step, address, f"cannot connect: {error!r}"
         ) from None
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -1,6 +1,8 @@
 """Messages on the control link between two nodes, and their conversions."""
 
 import dataclasses
+from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import pydantic
@@ -8,6 +10,26 @@
 from sassafras_policy.mesh import targets
 from sassafras_wire.peer import models
 
+# Larger numbers lose digits in floating point.
+_MAX_NUMBER = 2**53
+_MAX_CAPACITY = 1_000_000
+_MAX_COLD_START_S = 24 * 3600.0
+_MAX_PORT = 65535
+
+_Number = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+
+
+def _check_address(value: str) -> str:
+    """Returns a `host:port` address; opening others raises unusual errors."""
+    host, _, port = value.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not is_number or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError("not a host and a port")
+    return value
+
+
+_Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+
 
 class AnnouncementModel(pydantic.BaseModel):
     """The local target of a node."""
@@ -16,12 +38,14 @@
 
     target_id: str
     service: str
-    address: str
-    capacity: int = pydantic.Field(ge=0)
+    address: _Address
+    capacity: int = pydantic.Field(ge=0, le=_MAX_CAPACITY)
     state: targets.State
-    cold_start_s: float = 0.0
-    sequence: int = 0
-    started_ms: int = 0
+    cold_start_s: float = pydantic.Field(
+        default=0.0, ge=0, le=_MAX_COLD_START_S
+    )
+    sequence: _Number = 0
+    started_ms: _Number = 0
 
 
 class NodeEntryModel(pydantic.BaseModel):
@@ -30,13 +54,13 @@
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
     node_id: str
-    incarnation: int
+    incarnation: _Number
     availability_zone: str
-    call_address: str
-    link_address: str
+    call_address: _Address
+    link_address: _Address
     is_leaving: bool = False
     target: AnnouncementModel | None = None
-    number: int = 0
+    number: _Number = 0
 
 
 @models.message_types.register("mesh_ping")
@@ -111,6 +135,7 @@
 
 
 _MEMBERS = pydantic.TypeAdapter(list[NodeEntryModel])
+_ITEMS = pydantic.TypeAdapter(list[Any])
 
 
 def encode_members(entries: list[targets.NodeEntry]) -> bytes:
@@ -119,11 +144,27 @@
 
 
 def decode_members(value: bytes) -> list[targets.NodeEntry] | None:
-    """Returns the entries in a value, or None if it is not valid."""
+    """Returns the valid entries in a value, or None if it is no list."""
     try:
         return [to_entry(model) for model in _MEMBERS.validate_json(value)]
+    except pydantic.ValidationError:
+        return _decode_valid_members(value)
+
+
+def _decode_valid_members(value: bytes) -> list[targets.NodeEntry] | None:
+    """Returns the valid entries of a list in which others are not valid."""
+    try:
+        items = _ITEMS.validate_json(value)
     except pydantic.ValidationError:
         return None
+    found: list[targets.NodeEntry] = []
+    for item in items:
+        try:
+            found.append(to_entry(NodeEntryModel.model_validate(item)))
+        except pydantic.ValidationError:
+            # The node that read it from the store has logged it.
+            continue
+    return found
 
 
 def to_model(entry: targets.NodeEntry) -> NodeEntryModel:
