Share code of refusals and of test targets, and check what a restart restores

Cause: a foreign entry under this node's own key, with a start in the future, would exclude the local target after a restart. Change: a restored target passes the check of announcements. Refusals that are temporary share a function, and tests share a raw target.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -84,17 +84,15 @@
     """Returns the call, or the refusal of the request."""
     table = runtime.routing
     if table is None or not runtime.is_fleet_loaded:
-        return messages.refusal(
+        return _refuse_for_now(
             outcomes.Reason.NO_CONFIGURATION,
-            503,
             "the node does not know the configuration or the fleet yet",
-            retry_after_ms=messages.RETRY_AFTER_MS,
         )
     route = table.find(caller_request.host, caller_request.request.path)
     if runtime.drain.refuses_new and not _is_sub_call(
         runtime, caller_request, route
     ):
-        return _leaving_refusal()
+        return _refuse_for_now(outcomes.Reason.LEAVING, "the node is stopping")
     if route is None:
         return _refusal_unless_outdated(runtime, outcomes.Reason.NO_ROUTE, 404)
     organisation: configuration.Organisation | None = None
@@ -238,12 +236,11 @@
     )
 
 
-def _leaving_refusal() -> messages.CallResponse:
+def _refuse_for_now(
+    reason: outcomes.Reason, detail: str
+) -> messages.CallResponse:
     return messages.refusal(
-        outcomes.Reason.LEAVING,
-        503,
-        "the node is stopping",
-        retry_after_ms=messages.RETRY_AFTER_MS,
+        reason, 503, detail, retry_after_ms=messages.RETRY_AFTER_MS
     )
 
 
@@ -257,11 +254,9 @@
 
 
 def _outdated_refusal() -> messages.CallResponse:
-    return messages.refusal(
+    return _refuse_for_now(
         outcomes.Reason.NO_CONFIGURATION,
-        503,
         "the configuration may be outdated; the store is not reached",
-        retry_after_ms=messages.RETRY_AFTER_MS,
     )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -170,12 +170,19 @@
     runtime: runtimes.Runtime, listing: interfaces.Listing
 ) -> None:
     """Restores the local target from the entry of this node's last process."""
-    own_key = entries.key_of(runtime.settings.host.node_id)
+    host = runtime.settings.host
+    own_key = entries.key_of(host.node_id)
+    now_ms = runtime.clock.wall() * 1000
     for item in listing.items:
-        if item.key == own_key and item.value is not None:
-            previous = entries.decode(item.value)
-            if previous is not None:
-                runtime.target.restore(previous.target)
+        if item.key != own_key or item.value is None:
+            continue
+        previous = entries.decode(item.value)
+        if previous is None or previous.target is None:
+            continue
+        if not targets.find_fault(
+            previous.target, host.target_service, host.target_address, now_ms
+        ):
+            runtime.target.restore(previous.target)
     runtime.target.restored.set()
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -76,19 +76,17 @@
     def _silence_limit_s(self) -> float:
         return _SILENT_INTERVALS * self._settings.bounds.announcement_interval_s
 
-    def restore(self, previous: targets.Announcement | None) -> None:
+    def restore(self, previous: targets.Announcement) -> None:
         """Takes over what the previous process of the node published.
 
         A target that had left stays unused. One that was ready is used again
         after its next announcement.
         """
         if (
-            previous is not None
-            and self._register.restore(previous)
+            self._register.restore(previous)
             and previous.state is not targets.State.READY
         ):
             self._published = previous
-        self.restored.set()
 
     def set_class_count(self, class_count: int) -> None:
         """Applies the number of ranks of a new configuration."""
--- a/tests/contract/test_repeated_responses.py
+++ b/tests/contract/test_repeated_responses.py
@@ -4,18 +4,15 @@
 had not, after a target had repeated an earlier refusal on a kept connection.
 """
 
-import contextlib
 import enum
 
 import pytest
 import trio
 
+from common import raw_targets
 from sassafras_base import errors
 from sassafras_policy.calls import messages
-from sassafras_standins.fleet import launcher
 from sassafras_wire.http import client
-from sassafras_wire.http import pool
-from sassafras_wire.http import sockets
 
 pytestmark = pytest.mark.loopback
 
@@ -50,39 +47,6 @@
     return match
 
 
-@contextlib.asynccontextmanager
-async def _target(serve):
-    """Runs `serve` for each connection; yields a pool of connections."""
-    address = launcher.free_address()
-    host, port = client.split_address(address)
-    listener = sockets.Listener.bind(host, port)
-
-    async def handle(stream):
-        with contextlib.suppress(
-            trio.BrokenResourceError, trio.ClosedResourceError
-        ):
-            await serve(stream)
-        stream.close()
-
-    async def accept(nursery):
-        while True:
-            for stream, _ in await listener.accept():
-                nursery.start_soon(handle, stream)
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(accept, nursery)
-        with trio.fail_after(10):
-            yield pool.ConnectionPool(
-                address,
-                "test.call",
-                size=4,
-                body_limit=_BODY_LIMIT,
-                connect_timeout_s=1.0,
-            )
-        nursery.cancel_scope.cancel()
-    listener.close()
-
-
 async def _read_id(stream):
     """Returns the id in the next request, or None at the end."""
     data = b""
@@ -136,7 +100,7 @@
         executed.append(next_id)
         await stream.send_all(_encode(200, next_id))
 
-    async with _target(serve) as connections:
+    async with raw_targets.running(serve, _BODY_LIMIT) as connections:
         first = await _call(connections, "first")
         assert first.status == status
         await trio.sleep(0.05)
@@ -189,7 +153,7 @@
     async def serve(stream):
         await _repeat(stream, head, piece)
 
-    async with _target(serve) as connections:
+    async with raw_targets.running(serve, _BODY_LIMIT) as connections:
         with pytest.raises(errors.ProtocolError):
             await _call(connections, "first")
 
@@ -205,7 +169,7 @@
         while True:
             await stream.send_all(b"abcdefgh" * 64)
 
-    async with _target(serve) as connections:
+    async with raw_targets.running(serve, _BODY_LIMIT) as connections:
         for request_id in ("first", "second"):
             response = await _call(connections, request_id)
             assert response.header("request-id") == request_id
@@ -237,7 +201,7 @@
                 rest += chunk
         received.append(rest)
 
-    async with _target(serve) as connections:
+    async with raw_targets.running(serve, _BODY_LIMIT) as connections:
         for request_id in ("first", "second"):
             response = await _call(connections, request_id, body)
             assert response.header("request-id") == request_id
--- a/tests/contract/test_response_memory.py
+++ b/tests/contract/test_response_memory.py
@@ -4,22 +4,17 @@
 memory limit; the requests of its other clients were lost with it (LOST).
 """
 
-import contextlib
-
 import hypothesis
 from hypothesis import strategies
 import pytest
 import trio
 
+from common import raw_targets
 from sassafras_base import errors
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_policy.admission import memory
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
-from sassafras_standins.fleet import launcher
-from sassafras_wire.http import client
-from sassafras_wire.http import pool
-from sassafras_wire.http import sockets
 
 _MEGABYTE = 1024 * 1024
 _HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: "
@@ -62,39 +57,6 @@
     assert 0 < 2 * 3 * body_bytes <= limit - base_mb * _MEGABYTE
 
 
-@contextlib.asynccontextmanager
-async def _target(serve):
-    """Runs `serve` for each connection; yields a pool of connections."""
-    address = launcher.free_address()
-    host, port = client.split_address(address)
-    listener = sockets.Listener.bind(host, port)
-
-    async def handle(stream):
-        with contextlib.suppress(
-            trio.BrokenResourceError, trio.ClosedResourceError
-        ):
-            await serve(stream)
-        stream.close()
-
-    async def accept(nursery):
-        while True:
-            for stream, _ in await listener.accept():
-                nursery.start_soon(handle, stream)
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(accept, nursery)
-        with trio.fail_after(20):
-            yield pool.ConnectionPool(
-                address,
-                "test.call",
-                size=64,
-                body_limit=64 * _MEGABYTE,
-                connect_timeout_s=1.0,
-            )
-        nursery.cancel_scope.cancel()
-    listener.close()
-
-
 async def _serve(stream):
     """Responds to `endless` without end, and to others with a short body."""
     while data := await stream.receive_some():
@@ -131,7 +93,7 @@
             assert budget.held_bytes <= limit * holders / (holders + 1)
             held.release()
 
-    async with _target(_serve) as connections:
+    async with raw_targets.running(_serve, 64 * _MEGABYTE) as connections:
 
         async def call_endless():
             with pytest.raises(errors.MemoryLimitError):
--- a/tests/mesh/test_odd_entries.py
+++ b/tests/mesh/test_odd_entries.py
@@ -124,6 +124,24 @@
                     await trio.sleep(0.05)
 
 
+async def test_a_foreign_own_entry_does_not_exclude_the_target(tmp_path):
+    """Guards against a target that a restart excludes for a later start."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        machine = await fleet.add_machine("one")
+        await fleet.wait_until_settled()
+        fleet.kill_node("one")
+        await fleet.wait_until_ended("one")
+        later = {
+            "address": machine.address("App"),
+            "state": "gone",
+            "started_ms": _FUTURE_MS,
+        }
+        fleet.store.put(entries.PREFIX + "one", _entry("one", target=later))
+        await fleet.start_node("one")
+        with trio.fail_after(5):
+            await fleet.wait_until_settled()
+
+
 def test_one_invalid_relayed_entry_leaves_the_others():
     """Guards against a list that is refused for one of its entries."""
     sound = entries.decode(_entry("sound"))
