--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -88,7 +88,7 @@
         with trio.fail_after(timeout_s):
             return await sockets.SocketStream.connect(host, port)
     except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
-        # The last but one is for a port out of range.
+        # A port that is no number or out of range raises the two in the middle.
         raise errors.UnreachableError(
             step, address, f"cannot connect: {error!r}"
         ) from None
