Split the handling of announcements into checking and recording

Cause: one function tested twice whether a message is a deregistration. Change: the check of an announcement and its effect are functions of their own; the order of the steps is as before.

--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
@@ -78,32 +78,11 @@
             outcomes.Reason.NO_ROUTE, 404, "no such call for targets"
         )
     announcement = message.announcement
-    if announcement is not None:
-        host = runtime.settings.host
-        fault = targets.find_fault(
-            announcement,
-            host.target_service,
-            host.target_address,
-            runtime.clock.wall() * 1000,
-        )
-        if fault:
-            announcement_refused(peer, fault)
-            return messages.refusal(outcomes.Reason.BAD_REQUEST, 400, fault)
-    if announcement is None:
-        if runtime.target.mark_gone(message.target_id):
-            target_announced(
-                message.target_id, "", str(targets.State.GONE), 0, 0
-            )
-            runtime.publish_entry()
-        is_recorded = await _is_entry_stored(runtime)
-    elif announcement.state is targets.State.READY:
-        is_recorded = await _is_restored(runtime)
-        if is_recorded:
-            await _apply(runtime, announcement)
-    else:
-        await _apply(runtime, announcement)
-        is_recorded = await _is_entry_stored(runtime)
-    if is_recorded:
+    fault = _find_fault(runtime, announcement) if announcement else ""
+    if fault:
+        announcement_refused(peer, fault)
+        return messages.refusal(outcomes.Reason.BAD_REQUEST, 400, fault)
+    if await _record(runtime, message.target_id, announcement):
         return runtime.platform.codecs.acknowledgement()
     announcement_deferred(message.target_id)
     return messages.refusal(
@@ -114,6 +93,44 @@
     )
 
 
+def _find_fault(
+    runtime: runtimes.Runtime, announcement: targets.Announcement
+) -> str:
+    host = runtime.settings.host
+    return targets.find_fault(
+        announcement,
+        host.target_service,
+        host.target_address,
+        runtime.clock.wall() * 1000,
+    )
+
+
+async def _record(
+    runtime: runtimes.Runtime,
+    target_id: str,
+    announcement: targets.Announcement | None,
+) -> bool:
+    """Applies a message of the target; returns whether to acknowledge it.
+
+    Args:
+      runtime: The node.
+      target_id: The target.
+      announcement: Its announcement; None for its deregistration.
+    """
+    if announcement is None:
+        if runtime.target.mark_gone(target_id):
+            target_announced(target_id, "", str(targets.State.GONE), 0, 0)
+            runtime.publish_entry()
+        return await _is_entry_stored(runtime)
+    if announcement.state is not targets.State.READY:
+        await _apply(runtime, announcement)
+        return await _is_entry_stored(runtime)
+    if not await _is_restored(runtime):
+        return False
+    await _apply(runtime, announcement)
+    return True
+
+
 async def _is_restored(runtime: runtimes.Runtime) -> bool:
     """Waits until the node knows what its previous process published."""
     if runtime.target.restored.is_set():
