--- a/packages/sassafras-base/src/sassafras_base/supervision.py
+++ b/packages/sassafras-base/src/sassafras_base/supervision.py
@@ -15,6 +15,7 @@
 
 from sassafras_base import errors
 from sassafras_base import events
+from sassafras_base import task_times
 
 ChildFunction = Callable[[], Awaitable[None]]
 
@@ -158,6 +159,7 @@
 
     async def _supervise(self, child: Child, scope: trio.CancelScope) -> None:
         path = f"{self.path}/{child.name}"
+        task_times.current_path.set(path)
         failures: collections.deque[float] = collections.deque()
         backoff_s = self._policy.initial_backoff_s
         try:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/request_log.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/request_log.py
@@ -47,9 +47,9 @@
     makes ten of them, and their log lines would displace those of failures.
     """
     elapsed_s = runtime.clock.now() - started
-    runtime.measurements.count(
-        "requests", str(response.reason or response.outcome)
-    )
+    runtime.measurements.count_end("requests", response)
+    if call is not None and call.context.depth:
+        runtime.measurements.count_end("sub_calls", response)
     if call is not None and response.outcome is outcomes.Outcome.RAN:
         runtime.measurements.observe(call.service, elapsed_s)
         if (
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -5,12 +5,15 @@
 from hdrh import histogram
 
 from sassafras_node.reports import exposition
+from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
 
 _MIN_MS = 1
 _MAX_MS = 60_000
 _SIGNIFICANT_DIGITS = 2
 _COUNTERS = {
     "requests": "Requests of callers and of the target beside, by their end.",
+    "sub_calls": "Those of the target beside, by their end.",
     "calls": "Calls of other nodes, by their end.",
 }
 # Bounds the memory that a configuration with many routes can take.
@@ -25,11 +28,42 @@
             collections.Counter()
         )
         self._latencies: dict[str, histogram.HdrHistogram] = {}
+        self._processor_s = 0.0
+        self._task_s: dict[str, float] = collections.defaultdict(float)
+        self._reported: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     def count(self, name: str, label: str = "") -> None:
-        """Adds one to a counter, `requests` or `calls`."""
+        """Adds one to a counter: `requests`, `sub_calls` or `calls`."""
         self._counts[name, label] += 1
 
+    def count_end(self, name: str, response: messages.CallResponse) -> None:
+        """Adds one to a counter, labelled with how the call ended."""
+        self.count(name, _end_of(response))
+
+    def add_processor_time(
+        self, processor_s: float, tasks: dict[str, float]
+    ) -> None:
+        """Records processor time.
+
+        Args:
+          processor_s: Time of the process since its start.
+          tasks: Further time by child of the supervisor tree, estimated.
+        """
+        self._processor_s = processor_s
+        for path, run_s in tasks.items():
+            self._task_s[path] += run_s
+
+    def take_ends(self) -> dict[str, int]:
+        """Returns what was counted since the last time this was called."""
+        new = self._counts - self._reported
+        self._reported = self._counts.copy()
+        return {
+            f"{name} {label}": count
+            for (name, label), count in sorted(new.items())
+        }
+
     def observe(self, service: str, latency_s: float) -> None:
         """Records the latency of a request that ran."""
         series = self._latencies.get(service)
@@ -52,6 +86,20 @@
             exposition.gauge(name, meaning, value)
             for name, (meaning, value) in gauges.items()
         ]
+        families.append(
+            exposition.counter(
+                "processor_seconds",
+                "Processor time of the process.",
+                [({}, self._processor_s)],
+            )
+        )
+        families.append(
+            exposition.counter(
+                "task_seconds",
+                "Processor time by child of the supervisor tree, estimated.",
+                [({"task": p}, s) for p, s in sorted(self._task_s.items())],
+            )
+        )
         for name, meaning in _COUNTERS.items():
             counts = sorted(
                 (label, count)
@@ -76,3 +124,10 @@
             )
         )
         return exposition.render(families)
+
+
+def _end_of(response: messages.CallResponse) -> str:
+    """Returns how a call ended, as the label of a counter."""
+    if response.outcome is outcomes.Outcome.RAN and response.status >= 500:
+        return "ran-with-error"
+    return str(response.reason or response.outcome)
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -156,9 +156,7 @@
         received.target_id,
         progresses.Progress(memory=memory),
     )
-    runtime.measurements.count(
-        "calls", str(response.reason or response.outcome)
-    )
+    runtime.measurements.count_end("calls", response)
     if response.outcome is not outcomes.Outcome.RAN:
         call_ended(
             call.request_id,
--- a/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/supervisor.py
@@ -2,9 +2,10 @@
 
 Children: `store`, `peers`, `targets` and `callers`, each a supervisor of its
 own, `hangups`, which detects client disconnects, `call-deadlines` and
-`idle-deadlines`, which close connections that wait for too long, and
-`processor-lag`, which measures how full the node is. One that gives up is
-restarted here; when that happens too often the root gives up and the process
+`idle-deadlines`, which close connections that wait for too long,
+`processor-lag`, which measures how full the node is, and `processor-use`, which
+reports what its processor time was used for. One that gives up is restarted
+here; when that happens too often the root gives up and the process
 exits with an error.
 """
 
@@ -15,6 +16,7 @@
 from sassafras_base import events
 from sassafras_base import supervision
 from sassafras_node.mesh import processor_lag
+from sassafras_node.mesh import processor_use
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.callers import supervisor as callers
 from sassafras_node.mesh.peers import supervisor as peers
@@ -104,6 +106,7 @@
         "call-deadlines": runtime.call_deadlines.run,
         "idle-deadlines": runtime.idle_deadlines.run,
         "processor-lag": functools.partial(processor_lag.run, runtime),
+        "processor-use": functools.partial(processor_use.run, runtime),
     }
     try:
         async with trio.open_nursery() as nursery:
