Take the busy time of a node from the waits of its event loop

Cause: on the users' bench the clock of a process's processor time runs like the steady clock, so event 850 reported 5 s of processor time for each 5 s. Change: the sum of sampled steps and of the time between them that is no wait.

--- a/packages/sassafras-base/src/sassafras_base/task_times.py
+++ b/packages/sassafras-base/src/sassafras_base/task_times.py
@@ -2,7 +2,8 @@
 
 The event loop runs one task at a time, so the time between the begin and the
 end of a step is processor time of that task, unless another process had the
-core meanwhile.
+core meanwhile. The clock of the process's own processor time is not used: on
+the users' bench it runs like the steady clock.
 """
 
 import collections
@@ -18,6 +19,7 @@
 )
 
 _OTHER = "other"
+EVENT_LOOP = "event-loop"
 
 
 class TaskTimes(trio.abc.Instrument):
@@ -29,7 +31,19 @@
 
     def __init__(self) -> None:
         self._run_s: dict[str, float] = collections.defaultdict(float)
-        self._started = time.perf_counter()
+        self._waited_s = 0.0
+        self._started = 0.0
+        self._wait_started = 0.0
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Notes when the loop begins to wait; see trio.abc.Instrument."""
+        del timeout
+        self._wait_started = time.perf_counter()
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Adds the time of a wait; see trio.abc.Instrument."""
+        del timeout
+        self._waited_s += time.perf_counter() - self._wait_started
 
     def before_task_step(self, task: trio.lowlevel.Task) -> None:
         """Notes when a step begins; see trio.abc.Instrument."""
@@ -49,16 +63,19 @@
 
         Returns:
           Seconds by path; children of one kind, such as `link:NODE`, are added
-          up.
+          up. `EVENT_LOOP` has the time between the steps, without the waits.
         """
         self._run_s.clear()
-        self._started = time.perf_counter()
+        self._waited_s = 0.0
+        begun_at = self._started = time.perf_counter()
         trio.lowlevel.add_instrument(self)
         try:
             await trio.sleep(span_s)
         finally:
             trio.lowlevel.remove_instrument(self)
+        busy_s = time.perf_counter() - begun_at - self._waited_s
         by_kind: dict[str, float] = collections.defaultdict(float)
         for path, run_s in self._run_s.items():
             by_kind[path.partition(":")[0]] += run_s
+        by_kind[EVENT_LOOP] = max(0.0, busy_s - sum(self._run_s.values()))
         return dict(by_kind)
--- a/packages/sassafras-node/src/sassafras_node/mesh/processor_use.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/processor_use.py
@@ -19,18 +19,18 @@
 @events.declare(850, "INFO")
 def processor_used(
     period_s: float,
-    processor_s: float,
+    busy_s: float,
     tasks: dict[str, float],
     ends: dict[str, int],
 ) -> str:
     """What the node used its processor for in a period.
 
-    `processor_s` is the processor time of the process. `tasks` estimates it by
-    child of the supervisor tree; the rest is the event loop. `ends` counts
+    `busy_s` is the time that the node did not wait, and `tasks` the parts of it
+    by child of the supervisor tree, both estimated from samples. `ends` counts
     `requests` that began here, `sub_calls` among them, and `calls` of other
     nodes, by how they ended.
     """
-    return f"{processor_s:.2f} s of processor time in {period_s:.0f} s"
+    return f"busy for {busy_s:.2f} s of {period_s:.0f} s"
 
 
 class _Sampler:
@@ -63,21 +63,17 @@
     """Samples and reports until cancelled."""
     sampler = _Sampler()
     reported_at = time.perf_counter()
-    # The first line includes the start of the process.
-    reported_processor_s = 0.0
     while True:
         while time.perf_counter() - reported_at < _REPORT_INTERVAL_S:
             await trio.sleep(_SAMPLE_INTERVAL_S - _SAMPLE_S)
             await sampler.sample()
         now = time.perf_counter()
-        processor_s = time.process_time()
         tasks = sampler.take(now - reported_at)
-        runtime.measurements.add_processor_time(processor_s, tasks)
+        runtime.measurements.add_task_times(tasks)
         processor_used(
             round(now - reported_at, 2),
-            round(processor_s - reported_processor_s, 3),
+            round(sum(tasks.values()), 3),
             {path: round(run_s, 3) for path, run_s in sorted(tasks.items())},
             runtime.measurements.take_ends(),
         )
         reported_at = now
-        reported_processor_s = processor_s
