Report a reset that only sending was told about

Seen by callers: 200 with a Content-Length of the part that had arrived, for a response without a length that was reset while a long request was still sent. Cause: the kernel reports a reset to one system call. If that was the send, the task that sends returned without a word, and the read found an ordinary end. Change: the failure of the send is kept, and the end of the stream after it is a lost connection, unless the other side had ended its output before (EPIPE).

--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -115,6 +115,8 @@
         self._received_eof = False
         self._received_bytes = 0
         self._is_sending = False
+        # The loss of the connection that only sending was told about.
+        self._send_failure: trio.BrokenResourceError | None = None
         # Whether a response seen here could be taken for a later one.
         self._is_ambiguous = False
         self._reuse_until = math.inf
@@ -338,8 +340,13 @@
         self._is_sending = True
         try:
             await self._stream.send_all(rest)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The task that receives notices and reports the loss.
+        except trio.BrokenResourceError as error:
+            # The task that receives reports it at the end of the stream, after
+            # what had arrived before.
+            if not sockets.is_orderly_end(error):
+                self._send_failure = error
+            return
+        except trio.ClosedResourceError:
             return
         self._is_sending = False
 
@@ -401,6 +408,8 @@
                 trio.ClosedResourceError,
             ) as error:
                 raise self._lost(f"lost while reading: {error!r}") from None
+            if not data and self._send_failure is not None:
+                raise self._lost(f"lost while sending: {self._send_failure!r}")
             self._received_eof = not data
             self._received_bytes += len(data)
             self._connection.receive_data(bytes(data))
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -43,6 +43,17 @@
 )
 
 
+def is_orderly_end(failure: trio.BrokenResourceError) -> bool:
+    """Returns whether sending failed after the other side had ended its output.
+
+    The kernel reports a reset to one system call only. If that is a send, a
+    read after it finds an ordinary end of the stream. A reset after the end of
+    the other side's output is reported as EPIPE, any other as ECONNRESET.
+    """
+    cause = failure.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.EPIPE
+
+
 class SocketStream(trio.abc.Stream):
     """A connected TCP socket.
 
--- a/tests/mesh/test_call_connections.py
+++ b/tests/mesh/test_call_connections.py
@@ -272,3 +272,33 @@
         await ended.wait()
 
     await _with_peer(serve, use)
+
+
+async def test_an_answer_cut_at_any_byte_is_lost():
+    """Guards against the response of another node that ends early, as whole."""
+    answer = call_messages.encode_answer(
+        messages.CallResponse(
+            outcome=outcomes.Outcome.RAN, headers=(("etag", "x"),), body=b"0123"
+        ),
+        False,
+    )
+    whole = struct.pack("!I", len(answer)) + answer
+    cuts = iter(range(len(whole)))
+
+    async def cut_answer(stream):
+        other = frames.FrameStream(
+            stream, "caller", call_connection.MAX_MESSAGE_BYTES
+        )
+        await other.receive()
+        await stream.send_all(whole[: next(cuts)])
+
+    async def use(peer):
+        for _ in range(len(whole)):
+            connection = await peer.connect()
+            progress = progresses.Progress()
+            with pytest.raises(errors.ConnectionLostError):
+                await connection.exchange(CALL, progress)
+            assert progress.may_have_run
+            await connection.close()
+
+    await _with_peer(cut_answer, use)
