Revert counting rejections of a target as overload

The level of a target that rejects a fixed share falls to its lowest value, as fewer calls are not rejected less often, and it opens again late. Conclusion: calls in vain stay open.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -179,7 +179,11 @@
 ) -> targets.NodeEntry | None:
     own = runtime.entry
     is_own = own.node_id not in history.tried and own.service == call.service
-    if is_own and _is_sound(runtime, own):
+    if (
+        is_own
+        and runtime.target.gate.load < 1.0
+        and not runtime.target_tracker.is_ejected(own.node_id)
+    ):
         return own
     choice = _choose_in_zone(runtime, call.service, history.tried)
     if choice is None:
@@ -195,17 +199,6 @@
     return runtime.fleet.get(choice.node_id)
 
 
-def _is_sound(runtime: runtimes.Runtime, own: targets.NodeEntry) -> bool:
-    """Returns whether the local target has room and no series of errors."""
-    tracker = runtime.target_tracker
-    return (
-        own.target is not None
-        and runtime.target.gate.load < 1.0
-        and not tracker.is_ejected(own.node_id)
-        and not tracker.is_failing(own.node_id, own.target.capacity)
-    )
-
-
 def _choose_in_zone(
     runtime: runtimes.Runtime, service: str, tried: list[str]
 ) -> balancers.Candidate | None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -76,7 +76,6 @@
     front_end = runtime.platform.front_end
     started = runtime.clock.now()
     succeeded = False
-    rejected = False
     if call.request_id:
         runtime.running_calls[call.request_id] = call
     try:
@@ -96,7 +95,6 @@
         target_response = front_end.read_target_response(response)
         if not target_response.ran:
             progress.may_have_run = False
-            rejected = not target_response.is_other
             return messages.refusal(
                 outcomes.Reason.TURNED_AWAY, 503, "the target turned it away"
             )
@@ -122,8 +120,6 @@
         runtime.running_calls.pop(call.request_id, None)
         if succeeded:
             gate.leave(runtime.clock.now() - started, True)
-        elif rejected:
-            gate.leave_rejected()
         else:
             gate.leave_with_error()
 
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -51,8 +51,6 @@
             target.record_load(response.load, now)
             unreachable = response.reason is outcomes.Reason.UNREACHABLE
             self._record_failure(node_id, at_once=unreachable)
-        elif response.reason is outcomes.Reason.TURNED_AWAY:
-            target.record_rejection(response.load, now)
         elif response.outcome is outcomes.Outcome.RAN:
             target.record_success(response.load, now)
         else:
@@ -74,12 +72,6 @@
         """Returns whether a target is excluded from balancing."""
         return self._tracked(node_id).health.is_ejected(self._clock.now())
 
-    def is_failing(self, node_id: str, slots: int) -> bool:
-        """Returns whether a target had as many recent errors as slots."""
-        return self._tracked(node_id).health.is_failing(
-            slots, self._clock.now()
-        )
-
     def candidate(
         self, record: records.NodeRecord, own: records.NodeRecord
     ) -> balancers.Candidate:
@@ -114,15 +106,14 @@
         target = tracked.health
         now = self._clock.now()
         target.set_identity(identity, now)
-        capacity = slots * target.capacity_share(cold_start_s, now)
         return balancers.Candidate(
             node_id=node_id,
             same_zone=same_zone,
             in_flight=tracked.in_flight,
             load=target.load(now),
-            capacity=capacity,
+            capacity=slots * target.capacity_share(cold_start_s, now),
             errors=target.errors(now),
-            ejected=target.is_ejected(now) or target.is_failing(capacity, now),
+            ejected=target.is_ejected(now),
         )
 
     def drop(self, node_id: str) -> None:
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -154,11 +154,6 @@
                 self._policy.abandon(ticket, self._clock.now())
         return waiter.result
 
-    def leave_rejected(self) -> None:
-        """Releases the slot of a call that the target did not execute."""
-        self._policy.rejected()
-        self._release()
-
     def _release(self) -> None:
         release = self._policy.release(self._clock.now())
         for ticket in release.admitted:
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -106,10 +106,6 @@
         """
         ...
 
-    def rejected(self) -> None:
-        """Releases the slot of a call that the target did not execute."""
-        ...
-
     def release(self, now: float) -> Release:
         """Releases calls from the queue while there are free slots."""
         ...
@@ -173,10 +169,6 @@
         """See AdmissionPolicy."""
         self._in_flight -= 1
 
-    def rejected(self) -> None:
-        """See AdmissionPolicy."""
-        self._in_flight -= 1
-
     def release(self, now: float) -> Release:
         """See AdmissionPolicy."""
         del now
@@ -307,16 +299,6 @@
         """See AdmissionPolicy."""
         self._in_flight -= 1
 
-    def rejected(self) -> None:
-        """See AdmissionPolicy.
-
-        A target that rejects calls at once keeps the queue empty, so without
-        this its level would stay open, and upstream services would go on to
-        work for requests that cannot be finished.
-        """
-        self._in_flight -= 1
-        self._levels.record_drop(queueing.DEFAULT_MAX_WAIT_S)
-
     def release(self, now: float) -> Release:
         """See AdmissionPolicy."""
         admitted: list[queueing.Ticket] = []
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -19,7 +19,7 @@
       load: Load in its last response; 1.0 when its limit is reached.
       capacity: Maximum concurrent calls, scaled down during slow start.
       errors: Its recent errors; each counts as a call in flight.
-      ejected: Whether it is avoided because of errors.
+      ejected: Whether it is ejected because of errors.
     """
 
     node_id: str
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
@@ -56,15 +56,6 @@
         self._load = load
         self._load_at = now
 
-    def record_rejection(self, load: float, now: float) -> None:
-        """Records that the target did not execute a call, and its load.
-
-        A target that rejects calls at once has few in flight and a low load,
-        and would attract the calls that others could execute.
-        """
-        self.record_load(load, now)
-        self._count_error(now)
-
     def record_failure(self, now: float, at_once: bool = False) -> bool:
         """Records an error of the target.
 
@@ -76,7 +67,8 @@
         Returns:
           Whether the error caused an ejection.
         """
-        self._count_error(now)
+        self._errors = self.errors(now) + 1.0
+        self._errors_at = now
         self._consecutive_failures += 1
         if self.is_ejected(now):
             return False
@@ -90,22 +82,10 @@
         self._serving_since = self._ejected_until
         return True
 
-    def _count_error(self, now: float) -> None:
-        self._errors = self.errors(now) + 1.0
-        self._errors_at = now
-
     def is_ejected(self, now: float) -> bool:
         """Returns whether the target is currently ejected."""
         return now < self._ejected_until
 
-    def is_failing(self, slots: float, now: float) -> bool:
-        """Returns whether it had as many recent errors as it has slots.
-
-        A target that rejects a part of its calls never fails often enough in a
-        row to be ejected.
-        """
-        return self.errors(now) >= max(slots, 1.0)
-
     def errors(self, now: float) -> float:
         """Returns the number of recent errors, which decays over time.
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -39,11 +39,9 @@
 
     Attributes:
       ran: Whether the target executed the request.
-      is_other: Whether another target than the one that was named responded.
       is_intact: Whether status, signature and body are those of the target,
         unaltered.
     """
 
     ran: bool
-    is_other: bool
     is_intact: bool
