--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -80,7 +80,7 @@
         families.append(
             exposition.counter(
                 "task_seconds",
-                "Processor time by child of the supervisor tree, estimated.",
+                "Busy time by child of the supervisor tree, estimated.",
                 [({"task": p}, s) for p, s in sorted(self._task_s.items())],
             )
         )
--- a/packages/sassafras-node/src/sassafras_node/mesh/processor_use.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/processor_use.py
@@ -34,7 +34,7 @@
 
 
 class _Sampler:
-    """Estimates the processor time of each child from samples."""
+    """Estimates the busy time of each child from samples."""
 
     def __init__(self) -> None:
         self._times = task_times.TaskTimes()
--- a/tests/contract/test_cut_responses.py
+++ b/tests/contract/test_cut_responses.py
@@ -51,16 +51,12 @@
         data += await stream.receive_some()
 
 
-@pytest.mark.parametrize("reset", [False, True], ids=["fin", "reset"])
-@pytest.mark.parametrize(
-    "whole", [_WITH_LENGTH, _CHUNKED, _INTERIM], ids=["length", "chunks", "100"]
-)
-async def test_a_response_cut_at_any_byte_is_lost(whole, reset):
-    """Guards against a cut response that looks complete."""
-    cuts = iter(range(len(whole)))
+async def _expect_losses(whole, cuts, reset):
+    """Exchanges one request for each number of bytes that the target sends."""
+    left = iter(range(cuts))
 
     async def serve(stream):
-        cut = next(cuts)
+        cut = next(left)
         await _read_head(stream)
         if cut:
             await stream.send_all(whole[:cut])
@@ -68,29 +64,25 @@
             _reset(stream)
 
     async with raw_targets.running(serve, _BODY_LIMIT) as connections:
-        for _ in range(len(whole)):
+        for _ in range(cuts):
             with pytest.raises(errors.ConnectionLostError):
                 await connections.exchange(_request())
 
 
 @pytest.mark.parametrize("reset", [False, True], ids=["fin", "reset"])
-async def test_a_head_without_a_length_cut_at_any_byte_is_lost(reset):
-    """Guards against a cut head that is taken for one without a body."""
-    length = _WITHOUT_LENGTH.index(b"\r\n\r\n") + len(b"\r\n\r\n")
-    cuts = iter(range(length))
+@pytest.mark.parametrize(
+    "whole", [_WITH_LENGTH, _CHUNKED, _INTERIM], ids=["length", "chunks", "100"]
+)
+async def test_a_response_cut_at_any_byte_is_lost(whole, reset):
+    """Guards against a cut response that looks complete."""
+    await _expect_losses(whole, len(whole), reset)
 
-    async def serve(stream):
-        cut = next(cuts)
-        await _read_head(stream)
-        if cut:
-            await stream.send_all(_WITHOUT_LENGTH[:cut])
-        if reset:
-            _reset(stream)
 
-    async with raw_targets.running(serve, _BODY_LIMIT) as connections:
-        for _ in range(length):
-            with pytest.raises(errors.ConnectionLostError):
-                await connections.exchange(_request())
+@pytest.mark.parametrize("reset", [False, True], ids=["fin", "reset"])
+async def test_a_head_without_a_length_cut_at_any_byte_is_lost(reset):
+    """Guards against a cut head that is taken for one without a body."""
+    head_bytes = _WITHOUT_LENGTH.index(b"\r\n\r\n") + len(b"\r\n\r\n")
+    await _expect_losses(_WITHOUT_LENGTH, head_bytes, reset)
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.005, 0.02, 0.05])
--- a/tests/mesh/test_processor_use.py
+++ b/tests/mesh/test_processor_use.py
@@ -75,7 +75,7 @@
     assert 'sassafras_requests_total{kind="turned-away"} 2.0' in text
 
 
-def test_processor_time_is_on_the_metrics_page():
+def test_busy_time_is_on_the_metrics_page():
     """Guards against a full node whose metrics do not tell what filled it."""
     counted = measurements.Measurements()
     counted.add_task_times({"node/mesh/store/members": 0.25})
