Spend retries and sound targets on requests that are nearly done

Cause: the retry budget went to whichever call failed first, and the balancer preferred targets that reject, as a target that rejects at once has a low load.

Change: a call knows how many calls of its request have succeeded. The retry guard leaves to calls of later stages what they ask for, within the same budget. Calls after the first go to the targets that reject least, while one of these has room.

The property test of the guard covers stages.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -171,7 +171,7 @@
         return False
     if history.sends >= call.max_targets:
         return False
-    return runtime.retry_budget.take(call.service, now)
+    return runtime.retry_budget.take(call.service, now, call.stage)
 
 
 def _choose(
@@ -183,15 +183,21 @@
         is_own
         and runtime.target.gate.load < 1.0
         and not runtime.target_tracker.is_ejected(own.node_id)
+        and not (
+            call.stage and runtime.target_tracker.is_rejecting(own.node_id)
+        )
     ):
         return own
     choice = _choose_in_zone(runtime, call.service, history.tried)
-    if choice is None:
+    if choice is None or (call.stage and choice.is_rejecting):
         others = _untried(runtime.fleet.serving(call.service), history.tried)
         sample = _sample(runtime, others, _WIDE_SAMPLE_SIZE)
         if is_own:
             sample = [*sample, own]
-        choice = runtime.balancer.choose(_candidates(runtime, sample))
+        candidates = _candidates(runtime, sample)
+        if call.stage:
+            candidates = balancers.least_rejecting(candidates)
+        choice = runtime.balancer.choose(candidates)
     if choice is None:
         return None
     if choice.node_id == own.node_id:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -67,8 +67,8 @@
     else:
         call = admitted
         response = await dispatch.dispatch(runtime, call, history)
-        if call.context.depth and response.status >= 500:
-            runtime.sub_call_failed_at = runtime.clock.now()
+        if call.context.depth:
+            _record_sub_call(runtime, caller_request, response)
     response = _with_retry_after(runtime, response)
     request_log.record(
         runtime, caller_request, call, history, response, started
@@ -76,6 +76,20 @@
     return response
 
 
+def _record_sub_call(
+    runtime: runtimes.Runtime,
+    caller_request: interfaces.CallerRequest,
+    response: messages.CallResponse,
+) -> None:
+    """Records how a call of the local target ended, for its further calls."""
+    if response.status >= 500:
+        runtime.sub_call_failed_at = runtime.clock.now()
+        return
+    parent = runtime.running_calls.get(caller_request.parent_id)
+    if parent is not None and response.outcome is outcomes.Outcome.RAN:
+        parent.sub_calls_done += 1
+
+
 async def _admit(
     runtime: runtimes.Runtime,
     caller_request: interfaces.CallerRequest,
@@ -167,6 +181,7 @@
     )
     depth = 0
     bucket: int | None = None
+    stage = 0
     if organisation is None:
         # Without an organisation it is a sub-call, as only targets use routes
         # that need no key.
@@ -176,10 +191,12 @@
             # With the rank of its own route, a downstream service could not
             # tell the calls of a settlement from those of a status check, and
             # refused both entirely.
-            priority = parent.context.priority
-            bucket = parent.context.bucket
-            deadline = min(deadline, parent.context.deadline)
-            depth = parent.context.depth + 1
+            inherited = parent.call.context
+            priority = inherited.priority
+            bucket = inherited.bucket
+            deadline = min(deadline, inherited.deadline)
+            depth = inherited.depth + 1
+            stage = parent.sub_calls_done
     if bucket is None:
         bucket = (
             hashing.stable_hash(caller_request.request_id)
@@ -204,6 +221,7 @@
         is_idempotent=route.is_idempotent,
         route=route.name,
         max_targets=route.max_targets,
+        stage=stage,
     )
 
 
@@ -212,7 +230,7 @@
     caller_request: interfaces.CallerRequest,
     route: configuration.Route,
     service: str,
-) -> calls.Call | None:
+) -> calls.RunningCall | None:
     """Returns the request that made a sub-call, and records which it calls."""
     parent = runtime.running_calls.get(caller_request.parent_id)
     parents = (
@@ -220,7 +238,7 @@
     )
     for running in parents:
         runtime.downstream_levels.record_call(
-            running.route, service, route.name
+            running.call.route, service, route.name
         )
     return parent
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -77,7 +77,7 @@
     started = runtime.clock.now()
     succeeded = False
     if call.request_id:
-        runtime.running_calls[call.request_id] = call
+        runtime.running_calls[call.request_id] = calls.RunningCall(call)
     try:
         # Sending does not yield, so a call whose caller has left, or whose
         # deadline has passed, would otherwise still be sent.
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -153,7 +153,7 @@
         self.call_pools = call_pools.CallPools(self.call_deadlines)
         self.downstream_levels = downstream.DownstreamLevels()
         self.processor = processor.ProcessorAdmission()
-        self.running_calls: dict[str, calls.Call] = {}
+        self.running_calls: dict[str, calls.RunningCall] = {}
         self.drain = drains.make_drain()
         self.is_leaving = False
         self.is_fleet_loaded = False
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -47,6 +47,9 @@
         """Records the load in a response and how the call ended."""
         target = self._tracked(node_id).health
         now = self._clock.now()
+        rejected = response.reason is outcomes.Reason.TURNED_AWAY
+        if rejected or response.outcome is outcomes.Outcome.RAN:
+            target.record_rejection(rejected, now)
         if _is_failure(response):
             target.record_load(response.load, now)
             unreachable = response.reason is outcomes.Reason.UNREACHABLE
@@ -72,6 +75,11 @@
         """Returns whether a target is excluded from balancing."""
         return self._tracked(node_id).health.is_ejected(self._clock.now())
 
+    def is_rejecting(self, node_id: str) -> bool:
+        """Returns whether a target rejects many of the calls that reach it."""
+        share = self._tracked(node_id).health.rejected_share(self._clock.now())
+        return share > balancers.MAX_REJECTED_SHARE
+
     def candidate(
         self, record: records.NodeRecord, own: records.NodeRecord
     ) -> balancers.Candidate:
@@ -114,6 +122,7 @@
             capacity=slots * target.capacity_share(cold_start_s, now),
             errors=target.errors(now),
             ejected=target.is_ejected(now),
+            rejected_share=target.rejected_share(now),
         )
 
     def drop(self, node_id: str) -> None:
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -7,6 +7,9 @@
 
 from sassafras_base import registry
 
+# Targets whose shares of rejected calls differ by less count as equal.
+MAX_REJECTED_SHARE = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
@@ -20,6 +23,8 @@
       capacity: Maximum concurrent calls, scaled down during slow start.
       errors: Its recent errors; each counts as a call in flight.
       ejected: Whether it is ejected because of errors.
+      rejected_share: Share of the calls that it rejected of late, of those that
+        reached it.
     """
 
     node_id: str
@@ -29,6 +34,12 @@
     capacity: float
     errors: float = 0.0
     ejected: bool = False
+    rejected_share: float = 0.0
+
+    @property
+    def is_rejecting(self) -> bool:
+        """Whether it rejects more calls than a short queue explains."""
+        return self.rejected_share > MAX_REJECTED_SHARE
 
     @property
     def score(self) -> float:
@@ -60,6 +71,21 @@
     return [c for c in candidates if c.node_id not in excluded]
 
 
+def least_rejecting(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Returns the candidates that reject the fewest calls, if any has room.
+
+    A target that rejects calls at once has a low load, by which balancers would
+    prefer it. The first call of a request may as well fail there; later ones
+    would fail the work that was done before them.
+    """
+    usable = without_ejected(candidates)
+    pool = [c for c in usable if c.score < 1.0] or usable
+    if not pool:
+        return []
+    limit = min(c.rejected_share for c in pool) + MAX_REJECTED_SHARE
+    return [c for c in pool if c.rejected_share <= limit]
+
+
 BalancerFactory = type[Balancer]
 
 balancers: registry.Registry[BalancerFactory] = registry.Registry("balancer")
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
@@ -4,6 +4,10 @@
 
 _ERROR_DECAY_S = 1.0
 _LOAD_DECAY_S = 1.0
+# A target that gets no calls is tried again after a few seconds.
+_REJECTION_DECAY_S = 3.0
+# Weight of one call in the share of rejected calls.
+_REJECTION_WEIGHT = 0.05
 _FAILURES_TO_EJECT = 5
 _FIRST_EJECTION_S = 5.0
 _MAX_EJECTION_S = 60.0
@@ -21,6 +25,8 @@
         self._load_at = 0.0
         self._errors = 0.0
         self._errors_at = 0.0
+        self._rejected_share = 0.0
+        self._rejected_at = 0.0
         self._consecutive_failures = 0
         self._ejected_until = 0.0
         self._ejection_s = 0.0
@@ -41,6 +47,7 @@
             self._ejection_s = 0.0
             self._consecutive_failures = 0
             self._errors = 0.0
+            self._rejected_share = 0.0
         self._identity = identity
         self._serving_since = max(now, self._ejected_until)
 
@@ -56,6 +63,14 @@
         self._load = load
         self._load_at = now
 
+    def record_rejection(self, rejected: bool, now: float) -> None:
+        """Records whether the target rejected a call that reached it."""
+        if not rejected and not self._rejected_share:
+            return
+        share = self.rejected_share(now)
+        self._rejected_share = share + _REJECTION_WEIGHT * (rejected - share)
+        self._rejected_at = now
+
     def record_failure(self, now: float, at_once: bool = False) -> bool:
         """Records an error of the target.
 
@@ -94,6 +109,14 @@
         """
         return self._errors * math.exp((self._errors_at - now) / _ERROR_DECAY_S)
 
+    def rejected_share(self, now: float) -> float:
+        """Returns the share of recent calls that the target rejected."""
+        if not self._rejected_share:
+            return 0.0
+        return self._rejected_share * math.exp(
+            (self._rejected_at - now) / _REJECTION_DECAY_S
+        )
+
     def load(self, now: float) -> float:
         """Returns the last recorded load, which decays over time.
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -20,6 +20,8 @@
       route: Name of the route.
       max_targets: Maximum number of targets that it may be sent to; its first
         node enforces it.
+      stage: How many calls of the same request have succeeded before, as far as
+        its first node knows.
     """
 
     request: messages.Request
@@ -31,6 +33,20 @@
     is_idempotent: bool
     route: str = ""
     max_targets: int = 1
+    stage: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class RunningCall:
+    """A call that the local target is running.
+
+    Attributes:
+      call: The call.
+      sub_calls_done: How many calls it has made that succeeded.
+    """
+
+    call: Call
+    sub_calls_done: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/retry_budget.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/retry_budget.py
@@ -40,9 +40,9 @@
         """Counts a request for a service."""
         self._guard(service).count_first_attempt(now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Returns whether one more retry is allowed, and if so counts it."""
-        return self._guard(service).take(now)
+    def take(self, service: str, now: float, stage: int = 0) -> bool:
+        """Returns whether one more retry is allowed; see `RetryGuard.take`."""
+        return self._guard(service).take(now, stage)
 
     @property
     def _floor(self) -> float:
--- a/packages/sassafras-policy/src/sassafras_policy/retries/guard.py
+++ b/packages/sassafras-policy/src/sassafras_policy/retries/guard.py
@@ -10,12 +10,20 @@
 # requests.
 _FLOOR = 10
 
+# Stages of a request that are told apart.
+_STAGES = 4
+
+
+def _by_stage() -> list[int]:
+    return [0] * _STAGES
+
 
 @dataclasses.dataclass(slots=True)
 class _SecondCounts:
     second: int
     first_attempts: int = 0
-    retries: int = 0
+    asked: list[int] = dataclasses.field(default_factory=_by_stage)
+    taken: list[int] = dataclasses.field(default_factory=_by_stage)
 
 
 class RetryGuard:
@@ -52,21 +60,39 @@
         """Counts a call that is not a retry."""
         self._current_second(now).first_attempts += 1
 
-    def take(self, now: float) -> bool:
-        """Returns whether one more retry is allowed, and if so counts it."""
+    def take(self, now: float, stage: int = 0) -> bool:
+        """Returns whether one more retry is allowed, and if so counts it.
+
+        A call that fails for good fails its request, with all calls that were
+        made for it before. So a call may take only what the calls of later
+        stages have not asked for.
+
+        Args:
+          now: The current time.
+          stage: How many calls of the same request have succeeded before.
+        """
+        stage = min(stage, _STAGES - 1)
         current = self._current_second(now)
+        current.asked[stage] += 1
         first_attempts = sum(item.first_attempts for item in self._seconds)
-        retries = sum(item.retries for item in self._seconds)
-        if retries >= max(self._floor, int(first_attempts * self._ratio)):
+        allowed = max(self._floor, int(first_attempts * self._ratio))
+        taken = sum(sum(item.taken) for item in self._seconds)
+        reserved = sum(
+            sum(item.taken[: stage + 1]) + sum(item.asked[stage + 1 :])
+            for item in self._seconds
+        )
+        if max(taken, reserved) >= allowed:
             return False
-        current.retries += 1
+        current.taken[stage] += 1
         return True
 
     def refund(self, now: float) -> None:
         """Reverts the count of a retry that was allowed but not made."""
         current = self._current_second(now)
-        if current.retries > 0:
-            current.retries -= 1
+        for stage, count in enumerate(current.taken):
+            if count:
+                current.taken[stage] -= 1
+                return
 
     def _current_second(self, now: float) -> _SecondCounts:
         second = int(now)
--- a/tests/contract/test_retry_policies.py
+++ b/tests/contract/test_retry_policies.py
@@ -99,6 +99,23 @@
     assert sum(node_guard.take(30.0) for _ in range(50)) == 10
 
 
+def test_the_guard_leaves_later_stages_what_they_ask_for():
+    """Guards against retries of first calls that fail nearly done requests."""
+    node_guard = guard.RetryGuard()
+    for _ in range(4):
+        assert node_guard.take(5.0, stage=0)
+    for _ in range(6):
+        assert node_guard.take(5.0, stage=3)
+    assert not node_guard.take(5.0, stage=3)
+    # A second later, the window still holds all that was taken.
+    assert not node_guard.take(6.0, stage=0)
+    # Nothing is left for stage 0 where stage 1 asks for all of it.
+    for _ in range(12):
+        node_guard.take(30.0, stage=1)
+    assert not node_guard.take(31.0, stage=0)
+    assert node_guard.take(40.0, stage=0)
+
+
 def test_backoff_doubles_with_jitter_and_is_repeatable():
     """Guards against waits that differ between runs with one seed."""
     waits = [backoff.Backoff(random.Random(7)).wait_s(n) for n in range(12)]
--- a/tests/mesh/test_downstream_levels.py
+++ b/tests/mesh/test_downstream_levels.py
@@ -9,6 +9,7 @@
 from sassafras_platform import front_end
 from sassafras_policy.admission import levels
 from sassafras_policy.calls import messages
+from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import downstream
 from sassafras_standins.platform import documents
 
@@ -99,7 +100,18 @@
         node.target.gate.enter = record_context
         caller = fleet.nodes["one"]
         parent = _context(priority=1, bucket=random.Random(1).randrange(128))
-        caller.running_calls["p"] = _RunningCall("first", parent)
+        caller.running_calls["p"] = calls.RunningCall(
+            calls.Call(
+                request=messages.Request("GET", "/first/1", (), b""),
+                request_id="p",
+                caller_service="",
+                organisation="",
+                service="front",
+                context=parent,
+                is_idempotent=True,
+                route="first",
+            )
+        )
         response = await fleet.send_request(
             "one", "/inner/1", key=None, request_id="p.c"
         )
@@ -113,14 +125,6 @@
         )
 
 
-class _RunningCall:
-    """A call that a node's local target is executing."""
-
-    def __init__(self, route, context):
-        self.route = route
-        self.context = context
-
-
 @pytest.mark.loopback
 async def test_the_levels_that_refuse_a_request_are_logged(
     tmp_path, monkeypatch
--- a/tests/mesh/test_rejecting_targets.py
+++ b/tests/mesh/test_rejecting_targets.py
@@ -57,18 +57,18 @@
             for number in range(targets)
         }
 
-    async def call(self, context):
+    async def call(self, context, stage):
         """Returns whether a sub-call succeeds, at its second target at last."""
         self.budget.count_request(SERVICE, self.clock.now())
-        tried = self.choose([])
+        tried = self.choose([], stage)
         response = await self.send(tried, context)
         if response.reason is outcomes.Reason.TURNED_AWAY and self.budget.take(
-            SERVICE, self.clock.now()
+            SERVICE, self.clock.now(), stage
         ):
-            response = await self.send(self.choose([tried]), context)
+            response = await self.send(self.choose([tried], stage), context)
         return response.outcome is outcomes.Outcome.RAN
 
-    def choose(self, tried):
+    def choose(self, tried, stage):
         candidates = [
             self.tracker.make_candidate(
                 name,
@@ -80,6 +80,8 @@
             for name in self.gates
             if name not in tried
         ]
+        if stage:
+            candidates = balancers.least_rejecting(candidates)
         return self.balancer.choose(candidates).node_id
 
     async def send(self, node_id, context):
@@ -119,8 +121,8 @@
             ends.shed += 1
             return
         context = dataclasses.replace(context, depth=1)
-        for _ in range(SUB_CALLS):
-            if not await self.call(context):
+        for stage in range(SUB_CALLS):
+            if not await self.call(context, stage):
                 ends.failed += 1
                 return
         ends.served += 1
@@ -170,6 +172,27 @@
     ), (important, least)
 
 
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("share", [0.4, 0.55, 0.8])
+@pytest.mark.parametrize(("targets", "sound"), [(4, 1), (8, 2)])
+async def test_requests_that_are_nearly_done_are_finished(
+    targets, sound, share, seed
+):
+    """Guards against rejections that fail requests at their last calls.
+
+    The sound targets alone could serve 40% of the requests, so half of that is
+    due while the others reject.
+    """
+    fleet = Fleet(random.Random(seed), targets)
+    rate_per_s = sound * TARGET_RATE_PER_S / SUB_CALLS / 0.4
+    await fleet.load([rate_per_s], 1.0)
+    names = list(fleet.gates)[sound:]
+    fleet.rejecting = dict.fromkeys(names, share)
+    await fleet.load([rate_per_s], SETTLE_S)
+    (ends,) = await fleet.load([rate_per_s], 8.0)
+    assert ends.served / ends.offered >= 0.4 / 2, ends
+
+
 @pytest.mark.parametrize("seed", range(2))
 async def test_a_service_opens_again_after_its_targets_rejected(seed):
     """Guards against requests that are refused when the cause is over."""
--- a/tests/mesh/test_target_choice.py
+++ b/tests/mesh/test_target_choice.py
@@ -1,14 +1,17 @@
 """The targets that a node compares for a call."""
 
 import collections
+import dataclasses
 
 import pytest
 
 from common import mesh_fleet
 from sassafras_node.mesh.calls import dispatch
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import outcomes
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import targets
+from sassafras_standins.platform import documents
 
 _CALL = calls.Call(
     request=messages.Request("GET", "/read/1", (), b""),
@@ -76,3 +79,56 @@
         for _ in range(50):
             entry = dispatch._choose(runtime, _CALL, dispatch.SendHistory())
             assert entry.availability_zone == "zone-0"
+
+
+def _reject(runtime, node_id, calls_rejected):
+    """Records that the target of a node rejected calls one after another."""
+    rejection = messages.refusal(outcomes.Reason.TURNED_AWAY, 503, "rejected")
+    for _ in range(calls_rejected):
+        runtime.target_tracker.record_response(node_id, rejection)
+
+
+@pytest.mark.loopback
+async def test_the_last_calls_of_a_request_avoid_targets_that_reject(tmp_path):
+    """Guards against rejections that fail requests at their last calls."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        runtime = fleet.nodes["one"]
+        runtime.fleet.update(_entry(1, runtime.entry.availability_zone))
+        runtime.fleet.update(_entry(2, "zone-far"))
+        _reject(runtime, "node-1", 20)
+        later = dataclasses.replace(_CALL, stage=1)
+        for call, expected in ((_CALL, "node-1"), (later, "node-2")):
+            chosen = dispatch._choose(runtime, call, dispatch.SendHistory())
+            assert chosen.node_id == expected
+        # Where all reject alike, a target of the zone is as good as another.
+        _reject(runtime, "node-2", 20)
+        chosen = dispatch._choose(runtime, later, dispatch.SendHistory())
+        assert chosen.node_id == "node-1"
+
+
+@pytest.mark.loopback
+async def test_the_calls_of_a_request_are_counted(tmp_path):
+    """Guards against last calls that are taken for first ones."""
+    routes = (
+        documents.RouteRow(
+            "inner", mesh_fleet.HOST, "/inner/", "back", is_public=True
+        ),
+    )
+    async with mesh_fleet.running(tmp_path, routes=routes) as fleet:
+        await fleet.add_machine("one")
+        await fleet.add_machine("two", service="back")
+        await fleet.wait_until_settled()
+        running = calls.RunningCall(_CALL)
+        fleet.nodes["one"].running_calls["p"] = running
+        for number in range(3):
+            assert running.sub_calls_done == number
+            response = await fleet.send_request(
+                "one", "/inner/1", key=None, request_id=f"p.{number}"
+            )
+            assert response.status == 200
+        response = await fleet.send_request(
+            "one", "/missing/1", key=None, request_id="p.3"
+        )
+        assert response.status == 404
+        assert running.sub_calls_done == 3
--- a/tests/properties/test_retry_bound.py
+++ b/tests/properties/test_retry_bound.py
@@ -88,7 +88,9 @@
 @hypothesis.given(
     steps=strategies.lists(
         strategies.tuples(
-            strategies.floats(0, 3), strategies.sampled_from(["first", "retry"])
+            strategies.floats(0, 3),
+            strategies.sampled_from(["first", "retry"]),
+            strategies.integers(0, 5),
         ),
         max_size=300,
     )
@@ -98,12 +100,12 @@
     node_guard = guard.RetryGuard()
     now = 0.0
     firsts, granted = [], []
-    for gap_s, kind in steps:
+    for gap_s, kind, stage in steps:
         now += gap_s
         if kind == "first":
             node_guard.count_first_attempt(now)
             firsts.append(now)
-        elif node_guard.take(now):
+        elif node_guard.take(now, stage):
             granted.append(now)
             start = int(now) - 9
             retries = sum(1 for at in granted if at >= start)
