Share the test for rejecting targets, and cover the stages of calls

Found on a last reading of the change: - The threshold for a rejecting target stood in the balancers and in the tracker.

--- a/packages/sassafras-base/src/sassafras_base/task_times.py
+++ b/packages/sassafras-base/src/sassafras_base/task_times.py
@@ -2,8 +2,8 @@
 
 The event loop runs one task at a time, so the time between the begin and the
 end of a step is processor time of that task, unless another process had the
-core meanwhile. The clock of the process's own processor time is not used: on
-the users' bench it runs like the steady clock.
+core meanwhile. `time.process_time` is not used, as it runs like the steady
+clock on the users' platform.
 """
 
 import collections
@@ -67,6 +67,7 @@
         """
         self._run_s.clear()
         self._waited_s = 0.0
+        # The step that installs the instrument ends under it, without a begin.
         begun_at = self._started = time.perf_counter()
         trio.lowlevel.add_instrument(self)
         try:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -183,13 +183,11 @@
         is_own
         and runtime.target.gate.load < 1.0
         and not runtime.target_tracker.is_ejected(own.node_id)
-        and not (
-            call.stage and runtime.target_tracker.is_rejecting(own.node_id)
-        )
+        and not _must_avoid(runtime, call, own.node_id)
     ):
         return own
     choice = _choose_in_zone(runtime, call.service, history.tried)
-    if choice is None or (call.stage and choice.is_rejecting):
+    if choice is None or _must_avoid(runtime, call, choice.node_id):
         others = _untried(runtime.fleet.serving(call.service), history.tried)
         sample = _sample(runtime, others, _WIDE_SAMPLE_SIZE)
         if is_own:
@@ -205,6 +203,17 @@
     return runtime.fleet.get(choice.node_id)
 
 
+def _must_avoid(
+    runtime: runtimes.Runtime, call: calls.Call, node_id: str
+) -> bool:
+    """Returns whether a call goes to a target that rejects fewer, if any does.
+
+    The first call of a request that is rejected fails little work; a later one
+    fails all that was done for the calls before it.
+    """
+    return call.stage > 0 and runtime.target_tracker.is_rejecting(node_id)
+
+
 def _choose_in_zone(
     runtime: runtimes.Runtime, service: str, tried: list[str]
 ) -> balancers.Candidate | None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -13,7 +13,7 @@
 _SIGNIFICANT_DIGITS = 2
 _COUNTERS = {
     "requests": "Requests of callers and of the target beside, by their end.",
-    "sub_calls": "Those of the target beside, by their end.",
+    "sub_calls": "Requests of the target beside alone, by their end.",
     "calls": "Calls of other nodes, by their end.",
 }
 # Bounds the memory that a configuration with many routes can take.
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -7,7 +7,8 @@
 
 from sassafras_base import registry
 
-# Targets whose shares of rejected calls differ by less count as equal.
+# Targets whose shares of rejected calls differ by this much at most count as
+# equal, and a target that rejects no more than this as one that rejects none.
 MAX_REJECTED_SHARE = 0.1
 
 
@@ -36,11 +37,6 @@
     ejected: bool = False
     rejected_share: float = 0.0
 
-    @property
-    def is_rejecting(self) -> bool:
-        """Whether it rejects more calls than a short queue explains."""
-        return self.rejected_share > MAX_REJECTED_SHARE
-
     @property
     def score(self) -> float:
         """Expected utilisation; lower is better."""
@@ -72,11 +68,10 @@
 
 
 def least_rejecting(candidates: Sequence[Candidate]) -> list[Candidate]:
-    """Returns the candidates that reject the fewest calls, if any has room.
+    """Returns those of the candidates with room that reject the fewest calls.
 
     A target that rejects calls at once has a low load, by which balancers would
-    prefer it. The first call of a request may as well fail there; later ones
-    would fail the work that was done before them.
+    prefer it. If no candidate has room, all of them are compared.
     """
     usable = without_ejected(candidates)
     pool = [c for c in usable if c.score < 1.0] or usable
--- a/packages/sassafras-policy/src/sassafras_policy/retries/guard.py
+++ b/packages/sassafras-policy/src/sassafras_policy/retries/guard.py
@@ -10,7 +10,7 @@
 # requests.
 _FLOOR = 10
 
-# Stages of a request that are told apart.
+# Stages of a request that are told apart; later ones count as the last.
 _STAGES = 4
 
 
@@ -65,7 +65,7 @@
 
         A call that fails for good fails its request, with all calls that were
         made for it before. So a call may take only what the calls of later
-        stages have not asked for.
+        stages have not asked for in the window.
 
         Args:
           now: The current time.
@@ -87,12 +87,10 @@
         return True
 
     def refund(self, now: float) -> None:
-        """Reverts the count of a retry that was allowed but not made."""
+        """Reverts the count of a retry of stage 0 that was not made."""
         current = self._current_second(now)
-        for stage, count in enumerate(current.taken):
-            if count:
-                current.taken[stage] -= 1
-                return
+        if current.taken[0] > 0:
+            current.taken[0] -= 1
 
     def _current_second(self, now: float) -> _SecondCounts:
         second = int(now)
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -115,7 +115,7 @@
         self._received_eof = False
         self._received_bytes = 0
         self._is_sending = False
-        # The loss of the connection that only sending was told about.
+        # Why sending failed; a read after it finds an ordinary end.
         self._send_failure: trio.BrokenResourceError | None = None
         # Whether a response seen here could be taken for a later one.
         self._is_ambiguous = False
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -33,6 +33,7 @@
     "unsafe", HOST, "/write/", "front", route_type="unsafe"
 )
 OPEN = documents.RouteRow("open", HOST, "/open/", "front", is_public=True)
+INNER = documents.RouteRow("inner", HOST, "/inner/", "back", is_public=True)
 TENANT = documents.TenantRow("acme", (KEY,), rate_per_s=1000, burst=1000)
 _BODY_LIMIT = 1024 * 1024
 
--- a/tests/mesh/test_downstream_levels.py
+++ b/tests/mesh/test_downstream_levels.py
@@ -81,9 +81,7 @@
     """
     routes = (
         documents.RouteRow("first", mesh_fleet.HOST, "/first/", "front"),
-        documents.RouteRow(
-            "inner", mesh_fleet.HOST, "/inner/", "back", is_public=True
-        ),
+        mesh_fleet.INNER,
     )
     async with mesh_fleet.running(tmp_path, routes=routes) as fleet:
         await fleet.add_machine("one")
--- a/tests/mesh/test_planned_stops.py
+++ b/tests/mesh/test_planned_stops.py
@@ -29,10 +29,7 @@
     route_type="unsafe",
     timeout_ms=20000,
 )
-_INNER = documents.RouteRow(
-    "inner", mesh_fleet.HOST, "/inner/", "back", is_public=True
-)
-_ROUTES = (_BACK, _INNER, _LONG)
+_ROUTES = (_BACK, mesh_fleet.INNER, _LONG)
 _CLOSED = "closed"
 # Each connection is idle for longer than a stop takes, so that requests arrive
 # at every moment of it on connections that were open before.
--- a/tests/mesh/test_processor_use.py
+++ b/tests/mesh/test_processor_use.py
@@ -54,7 +54,7 @@
     return messages.CallResponse(outcome=outcome, status=status, reason=reason)
 
 
-def test_calls_in_vain_are_counted_apart():
+def test_calls_that_ran_with_an_error_are_counted_apart():
     """Guards against failed work that looks like work in the counters."""
     counted = measurements.Measurements()
     ran = outcomes.Outcome.RAN
--- a/tests/mesh/test_target_choice.py
+++ b/tests/mesh/test_target_choice.py
@@ -11,7 +11,6 @@
 from sassafras_policy.calls import outcomes
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import targets
-from sassafras_standins.platform import documents
 
 _CALL = calls.Call(
     request=messages.Request("GET", "/read/1", (), b""),
@@ -108,13 +107,17 @@
 
 
 @pytest.mark.loopback
-async def test_the_calls_of_a_request_are_counted(tmp_path):
+async def test_the_calls_of_a_request_are_counted(tmp_path, monkeypatch):
     """Guards against last calls that are taken for first ones."""
-    routes = (
-        documents.RouteRow(
-            "inner", mesh_fleet.HOST, "/inner/", "back", is_public=True
-        ),
-    )
+    chosen_stages = []
+    choose = dispatch._choose
+
+    def record_stage(runtime, call, history):
+        chosen_stages.append(call.stage)
+        return choose(runtime, call, history)
+
+    monkeypatch.setattr(dispatch, "_choose", record_stage)
+    routes = (mesh_fleet.INNER,)
     async with mesh_fleet.running(tmp_path, routes=routes) as fleet:
         await fleet.add_machine("one")
         await fleet.add_machine("two", service="back")
@@ -132,3 +135,38 @@
         )
         assert response.status == 404
         assert running.sub_calls_done == 3
+    assert chosen_stages == [0, 1, 2]
+
+
+@pytest.mark.loopback
+async def test_last_calls_are_sent_again_before_first_ones(tmp_path):
+    """Guards against a retry budget that first calls use up."""
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        runtime = fleet.nodes["one"]
+        rejection = messages.refusal(
+            outcomes.Reason.TURNED_AWAY, 503, "rejected"
+        )
+        deadline = runtime.clock.now() + 60.0
+        first = dataclasses.replace(
+            _CALL,
+            context=dataclasses.replace(_CALL.context, deadline=deadline),
+            max_targets=2,
+        )
+        later = dataclasses.replace(first, stage=1)
+
+        def is_sent_again(call):
+            return dispatch._may_send_again(
+                runtime, call, dispatch.SendHistory(), rejection
+            )
+
+        while is_sent_again(later):
+            pass
+        for _ in range(100):
+            assert not is_sent_again(later)
+        for _ in range(500):
+            runtime.retry_budget.count_request(
+                _CALL.service, runtime.clock.now()
+            )
+        assert not is_sent_again(first)
+        assert is_sent_again(later)
--- a/tests/mesh/test_whole_path.py
+++ b/tests/mesh/test_whole_path.py
@@ -65,11 +65,8 @@
 
 async def test_a_call_of_an_endpoint_needs_no_key(tmp_path):
     """Guards against sub-calls that are refused for lack of a key."""
-    inner = documents.RouteRow(
-        "inner", mesh_fleet.HOST, "/inner/", "back", is_public=True
-    )
     async with mesh_fleet.running(
-        tmp_path, routes=(mesh_fleet.SAFE, inner)
+        tmp_path, routes=(mesh_fleet.SAFE, mesh_fleet.INNER)
     ) as fleet:
         await fleet.add_machine(
             "one",
