--- a/packages/sassafras-node/src/sassafras_node/mesh/settings.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/settings.py
@@ -62,6 +62,10 @@
       retry_window_s: The window in which sends are compared.
       retry_extra: Further sends allowed in each window in addition.
       rate_tolerance: Excess over the rates of organisations that is allowed.
+      cold_rate_tolerance: Excess over the rate of a cold target that is
+        allowed, within one second.
+      evacuation_s: Longest time until a request to evacuate a zone is in force;
+        0 if the deployment does not state it.
     """
 
     revocation_s: float
@@ -72,6 +76,8 @@
     retry_window_s: float
     retry_extra: float
     rate_tolerance: limiters.Tolerance
+    cold_rate_tolerance: limiters.Tolerance = limiters.Tolerance(0.0, 0.0)
+    evacuation_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/configuration.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/configuration.py
@@ -28,6 +28,8 @@
       prefix: Path prefix; begins and ends with a slash.
       is_idempotent: Whether a request may run more than once.
       timeout_s: Maximum time until a caller gets a response; 0 for no bound.
+      target_latency_s: Time within which a response is worth most to its
+        caller; 0 if the operator states none.
       priority: Rank of the route; 0 is the most important.
       shares: The services that serve the route.
       max_targets: Maximum number of targets that a request may be sent to.
@@ -43,6 +45,24 @@
     shares: tuple[Share, ...]
     max_targets: int
     is_open: bool
+    target_latency_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """What the operator states about the targets of one service.
+
+    Attributes:
+      name: Unique name.
+      max_connections: Connections that one target accepts; 0 if not stated.
+      cold_start_s: Time for which a target is cold after its start.
+      cold_rate_per_s: Calls a second that a cold target bears; 0 for no bound.
+    """
+
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,9 +104,11 @@
       routes: The routes.
       organisations: The organisations; empty if no route needs a key.
       limits: Bounds on requests and connections of callers.
+      services: What is stated about services; routes may name others.
     """
 
     version: int
     routes: tuple[Route, ...]
     organisations: tuple[Organisation, ...]
     limits: CallerLimits
+    services: tuple[Service, ...] = ()
