Decode and encode plain HTTP/1.1 messages in one step

Cause: h11 makes about 90 function calls for each message, most of them for its state machine and for each field, and a visit at the first node handles four messages.

Change: wire/http/plain.py decodes a message whose head has arrived whole and which has a length or no body, and encodes such messages; everything else, and everything invalid, goes to h11 as before (wire/http/parsed.py for the client). What is decoded is a subset of what h11 accepts; tests/properties/ test_plain_messages.py compares both with h11, byte by byte.

--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -13,10 +13,11 @@
 from sassafras_policy.admission import memory as memories
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
+from sassafras_wire.http import parsed
+from sassafras_wire.http import plain
 from sassafras_wire.http import sockets
 
 _READ_BYTES = 64 * 1024
-_HEADER_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,13 +61,8 @@
 # More responses than this before the right one are a protocol error.
 _MAX_SKIPPED_RESPONSES = 4
 
-# A server in trouble may send bytes without end that never become a body of
-# more than the limit: interim responses, chunk extensions, tiny chunks.
+# A server in trouble may send interim responses without end.
 _MAX_INTERIM_RESPONSES = 16
-_MAX_FRAMING_BYTES = 2 * _HEADER_BYTES
-_MAX_FRAMING_RATIO = 8
-_MAX_SMALL_CHUNKS = 1024
-_SMALL_CHUNK_BYTES = 64
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -97,6 +93,9 @@
 class ClientConnection:
     """Sends one request at a time and reads its response.
 
+    Plain messages are encoded and decoded at once. From the first one that is
+    not plain to the end of an exchange, h11 encodes and decodes it.
+
     Attributes:
       peer: Address of the server.
       step: Operation that errors name, such as `target.call`.
@@ -109,11 +108,14 @@
         self.step = step
         self._stream = stream
         self._body_limit = body_limit
-        self._connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEADER_BYTES
-        )
+        self._received = b""
+        # The current exchange; None while its messages are plain.
+        self._parsed: parsed.ParsedExchange | None = None
+        # Whether the last exchange has ended, and another one may follow it.
+        self._is_idle = True
+        # Whether the server closes after the last response.
+        self._is_last = False
         self._received_eof = False
-        self._received_bytes = 0
         self._is_sending = False
         # Why sending failed; a read after it finds an ordinary end.
         self._send_failure: trio.BrokenResourceError | None = None
@@ -144,9 +146,8 @@
     def is_reusable(self) -> bool:
         """Whether another request may be sent."""
         return (
-            self._connection.our_state is h11.IDLE
-            and self._connection.their_state is h11.IDLE
-            and not self._connection.trailing_data[0]
+            self._is_idle
+            and not self._received
             and not self._is_sending
             and not self._is_ambiguous
         )
@@ -186,16 +187,15 @@
         """
         progress = progress or progresses.Progress()
         self._memory = progress.memory
-        rest = await self._start_sending(self._encode(request), progress)
+        data = self._encode(request)
+        self._is_idle = False
+        rest = await self._start_sending(data, progress)
         if rest:
             response = await self._receive_while_sending(rest, request, match)
         else:
             response = await self._receive_matching(request, match)
-        if (
-            self._connection.our_state is h11.DONE
-            and self._connection.their_state is h11.DONE
-        ):
-            self._connection.start_next_cycle()
+        if self._has_ended():
+            self._is_idle = True
             self._reuse_until = trio.current_time() + _keep_alive_s(response)
         return response
 
@@ -231,8 +231,8 @@
         held_bytes = self._memory.held_bytes if self._memory else 0
         for skipped in range(_MAX_SKIPPED_RESPONSES + 1):
             if skipped:
-                self._prepare_next_response(request)
-            response = await self._receive()
+                self._prepare_next_response()
+            response = await self._receive(request)
             result = match(response) if match is not None else Match.OWN
             if result is not Match.OWN:
                 self._is_ambiguous = True
@@ -244,20 +244,73 @@
             self.step, self.peer, "answers to other requests only"
         )
 
-    async def _receive(self) -> Response:
+    async def _receive(self, request: messages.Request) -> Response:
         """Reads one complete response."""
-        self._received_bytes = 0
-        head = await self._receive_head()
+        if self._parsed is None:
+            response = await self._receive_plain(request)
+            if response is not None:
+                return response
+            self._parsed = parsed.ParsedExchange(request, self.peer)
+            if self._received or self._received_eof:
+                self._parsed.receive(self._received)
+            self._received = b""
+        return await self._receive_parsed(self._parsed)
+
+    async def _receive_plain(
+        self, request: messages.Request
+    ) -> Response | None:
+        """Reads one response; returns None if it is not plain."""
+        if not plain.has_ordinary_response(request.method):
+            return None
+        if not self._received:
+            self._received = await self._read()
+        head = plain.decode_response(self._received)
+        if head is None:
+            return None
+        framing = head.framing
+        body = self._received[framing.body_start : framing.body_end]
+        if body:
+            self._reserve(len(body))
+            self._check_length(len(body))
+        rest = self._received[framing.body_end :]
+        missing = framing.body_end - len(self._received)
+        if missing > 0:
+            parts = [body]
+            while missing > 0:
+                data = await self._read()
+                if not data:
+                    raise self._lost("closed before it answered")
+                part, rest = data[:missing], data[missing:]
+                missing -= len(part)
+                self._reserve(len(part))
+                parts.append(part)
+                self._check_length(
+                    framing.body_end - framing.body_start - missing
+                )
+            body = b"".join(parts)
+        self._received = rest
+        self._is_last = framing.is_last
+        return Response(head.status, head.headers, body)
+
+    async def _receive_parsed(
+        self, exchange: parsed.ParsedExchange
+    ) -> Response:
+        """Reads one response that is not plain."""
+        head = await self._receive_head(exchange)
         body = bytearray()
-        chunks = 0
-        while type(event := await self._next_event()) is h11.Data:
+        while type(event := await self._next_event(exchange)) is h11.Data:
             self._reserve(len(event.data))
             body += event.data
-            chunks += event.chunk_start
-            if len(body) > self._body_limit:
-                raise self._excess(f"is over {self._body_limit} bytes")
-            self._check_framing(len(body), chunks)
-        return _to_response(head, bytes(body))
+            self._check_length(len(body))
+            fault = exchange.framing_fault()
+            if fault:
+                raise self._excess(fault)
+        status, headers = parsed.decode_head(head)
+        return Response(status, headers, bytes(body))
+
+    def _check_length(self, body_bytes: int) -> None:
+        if body_bytes > self._body_limit:
+            raise self._excess(f"is over {self._body_limit} bytes")
 
     def _reserve(self, size: int) -> None:
         if self._memory is not None and not self._memory.grow(size):
@@ -268,47 +321,43 @@
                 f" {self._memory.held_bytes} bytes",
             )
 
-    def _check_framing(self, body_bytes: int, chunks: int) -> None:
-        """Rejects a body that is lost in the bytes that frame it."""
-        allowed_bytes = _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * body_bytes
-        if self._received_bytes > allowed_bytes:
-            raise self._excess("has more framing than body")
-        if chunks > _MAX_SMALL_CHUNKS + body_bytes // _SMALL_CHUNK_BYTES:
-            raise self._excess("has too many small chunks")
-
     def _excess(self, problem: str) -> errors.ProtocolError:
         return errors.ProtocolError(
             self.step, self.peer, f"the response {problem}"
         )
 
-    def _prepare_next_response(self, request: messages.Request) -> None:
-        """Prepares to parse the response after a skipped one.
+    def _prepare_next_response(self) -> None:
+        """Prepares to read the response after a skipped one."""
+        if not self._has_ended():
+            raise self._lost("the answer belongs to another request")
+
+    def _has_ended(self) -> bool:
+        """Returns whether the connection stays open after the last response.
 
-        h11 parses one response for each request sent, so a new parser is
-        given the request again, and the unparsed bytes.
+        What has arrived after it then belongs to the next one.
         """
-        if self._connection.their_state is not h11.DONE:
-            raise self._lost("the answer belongs to another request")
-        rest = self._connection.trailing_data[0]
-        self._connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_HEADER_BYTES
-        )
-        self._encode(request)
-        if rest:
-            self._connection.receive_data(rest)
+        if self._parsed is None:
+            return not self._is_last
+        if not self._parsed.has_ended:
+            return False
+        self._received = self._parsed.rest
+        self._parsed = None
+        return True
 
     async def stream(
         self, request: messages.Request
     ) -> tuple[int, AsyncIterator[bytes]]:
         """Sends a request and returns the status and the body's chunks."""
-        data = self._encode(request)
-        rest = await self._start_sending(data, progresses.Progress())
+        exchange = self._parsed = parsed.ParsedExchange(request, self.peer)
+        rest = await self._start_sending(
+            exchange.request, progresses.Progress()
+        )
         try:
             await self._stream.send_all(rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise self._lost(f"lost while sending: {error!r}") from None
-        head = await self._receive_head()
-        return head.status_code, self._chunks()
+        head = await self._receive_head(exchange)
+        return head.status_code, self._chunks(exchange)
 
     async def close(self) -> None:
         """Closes the connection at once."""
@@ -351,48 +400,44 @@
         self._is_sending = False
 
     def _encode(self, request: messages.Request) -> bytes:
-        """Returns a request as bytes; the parser then expects its response."""
-        headers = [
-            *request.headers,
-            ("content-length", str(len(request.body))),
-        ]
-        if request.header("host") is None:
-            headers.insert(0, ("host", self.peer))
-        head = h11.Request(
-            method=request.method.encode(),
-            target=request.path.encode("latin-1"),
-            headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
+        """Returns a request as bytes."""
+        body = request.body
+        head = plain.encode_request(
+            request.method, request.path, request.headers, self.peer, len(body)
         )
-        data = self._connection.send(head) or b""
-        if request.body:
-            data += self._connection.send(h11.Data(data=request.body)) or b""
-        data += self._connection.send(h11.EndOfMessage()) or b""
-        return data
+        if head is not None:
+            return head + body if body else head
+        self._parsed = parsed.ParsedExchange(request, self.peer)
+        return self._parsed.request
 
     def _lost(self, problem: str) -> errors.ConnectionLostError:
         return errors.ConnectionLostError(self.step, self.peer, problem)
 
-    async def _receive_head(self) -> h11.Response:
+    async def _receive_head(
+        self, exchange: parsed.ParsedExchange
+    ) -> h11.Response:
         for _ in range(_MAX_INTERIM_RESPONSES):
-            event = await self._next_event()
+            event = await self._next_event(exchange)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._lost("closed before it answered")
         raise self._excess("has only interim responses")
 
-    async def _chunks(self) -> AsyncIterator[bytes]:
+    async def _chunks(
+        self, exchange: parsed.ParsedExchange
+    ) -> AsyncIterator[bytes]:
         while True:
-            event = await self._next_event()
+            event = await self._next_event(exchange)
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             else:
                 return
 
-    async def _next_event(self) -> object:
+    async def _next_event(self, exchange: parsed.ParsedExchange) -> object:
         while True:
             try:
-                event = self._connection.next_event()
+                event = exchange.next_event()
             except h11.RemoteProtocolError as error:
                 if self._received_eof:
                     raise self._lost("closed before it answered") from None
@@ -401,28 +446,18 @@
                 ) from None
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._stream.receive_some(_READ_BYTES)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ) as error:
-                raise self._lost(f"lost while reading: {error!r}") from None
-            if not data and self._send_failure is not None:
-                raise self._lost(f"lost while sending: {self._send_failure!r}")
-            self._received_eof = not data
-            self._received_bytes += len(data)
-            self._connection.receive_data(bytes(data))
-
-
-def _to_response(head: h11.Response, body: bytes) -> Response:
-    headers = tuple(
-        [
-            (name.decode("ascii").lower(), value.decode("latin-1"))
-            for name, value in head.headers.raw_items()
-        ]
-    )
-    return Response(status=head.status_code, headers=headers, body=body)
+            exchange.receive(await self._read())
+
+    async def _read(self) -> bytes:
+        """Returns received bytes; none at the end."""
+        try:
+            data = await self._stream.receive_some(_READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise self._lost(f"lost while reading: {error!r}") from None
+        if not data and self._send_failure is not None:
+            raise self._lost(f"lost while sending: {self._send_failure!r}")
+        self._received_eof = not data
+        return bytes(data)
 
 
 def _keep_alive_s(response: Response) -> float:
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -10,6 +10,7 @@
 from sassafras_base import errors
 from sassafras_policy.calls import messages
 from sassafras_wire.http import fields
+from sassafras_wire.http import plain
 
 _READ_BYTES = 64 * 1024
 # A copy of a longer body takes more memory than one system call is worth.
@@ -84,6 +85,9 @@
 class ServerConnection:
     """Reads requests from a stream and writes their responses, in order.
 
+    A plain request that has arrived whole is decoded at once; any other is
+    left to a parser, which then also encodes the response to it.
+
     All methods are called by the connection's one task.
 
     Attributes:
@@ -104,9 +108,11 @@
         self._limits = limits
         self._budget = budget
         self._held = 0
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._received = b""
+        # Of the current request; None while it is a plain one.
+        self._parser: h11.Connection | None = None
+        # Whether the client has asked to close the connection.
+        self._is_last = False
         # A response to HEAD has the length of a body but no body.
         self._head_only = False
         self._head: h11.Request | None = None
@@ -122,15 +128,19 @@
         Returns:
           Whether there is one; False when the client has closed the connection.
         """
-        if self._connection.states[h11.SERVER] is h11.DONE:
-            if self._connection.states[h11.CLIENT] is not h11.DONE:
+        if self._parser is not None:
+            if (
+                self._parser.our_state is not h11.DONE
+                or self._parser.their_state is not h11.DONE
+            ):
                 return False
-            self._connection.start_next_cycle()
-        elif self._connection.states[h11.SERVER] is not h11.IDLE:
+            self._received = self._parser.trailing_data[0]
+            self._parser = None
+        if self._is_last:
             return False
-        if self._connection.trailing_data[0]:
-            return True
-        return await self._read()
+        if not self._received:
+            self._received = await self._read()
+        return bool(self._received)
 
     async def receive(self) -> messages.Request | None:
         """Returns the next request, or None when the client has closed.
@@ -141,14 +151,24 @@
         self._head = None
         self._body = bytearray()
         self._is_complete = False
+        self._head_only = False
+        request = self._decode_plain()
+        if request is not None:
+            return request
+        parser = self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+        if self._received:
+            parser.receive_data(self._received)
+            self._received = b""
         # Most requests have arrived whole, and need no timeout.
-        if self._parse():
+        if self._parse(parser):
             return self._to_request()
         with trio.move_on_after(self._limits.request_timeout_s):
-            while not self._parse():
-                if self._connection.they_are_waiting_for_100_continue:
-                    await self._send_continue()
-                await self._read()
+            while not self._parse(parser):
+                if parser.they_are_waiting_for_100_continue:
+                    await self._send_continue(parser)
+                parser.receive_data(await self._read())
             return self._to_request()
         raise RequestRefusedError(
             self.peer,
@@ -167,23 +187,80 @@
           close: Whether to announce that the connection closes after it.
         """
         headers = self._format_headers(response)
+        if self._parser is None:
+            data = self._encode_plain(response, headers, close)
+        else:
+            is_open = self._parser.their_state is h11.DONE
+            data = self._encode(
+                self._parser, response, headers, close or not is_open
+            )
+        body = b"" if self._head_only else response.body
+        if len(body) > _MAX_COPIED_BYTES:
+            await self._stream.send_all(data)
+            await self._stream.send_all(body)
+        else:
+            await self._stream.send_all(data + body if body else data)
+
+    def _decode_plain(self) -> messages.Request | None:
+        """Returns the request if it is plain, whole and within all limits."""
+        head = plain.decode_request(self._received)
+        if head is None:
+            return None
+        framing = head.framing
+        body_bytes = framing.body_end - framing.body_start
+        if (
+            framing.body_end > len(self._received)
+            or framing.body_start > self._limits.header_bytes
+            or body_bytes > self._limits.body_bytes
+        ):
+            return None
+        body = b""
+        if body_bytes:
+            self._reserve(body_bytes)
+            body = self._received[framing.body_start : framing.body_end]
+        self._received = self._received[framing.body_end :]
+        self._is_last = framing.is_last
+        self._is_complete = True
+        return messages.Request(head.method, head.target, head.headers, body)
+
+    def _encode_plain(
+        self,
+        response: messages.CallResponse,
+        headers: list[tuple[str, str]],
+        close: bool,
+    ) -> bytes:
+        """Returns the head of the response to a plain request."""
+        is_last = close or self._is_last or not self._is_complete
+        data = plain.encode_response(
+            response.status, headers, len(response.body), is_last
+        )
+        if data is None:
+            encoder = h11.Connection(h11.SERVER)
+            data = self._encode(encoder, response, headers, is_last)
+            is_last = encoder.our_state is not h11.DONE
+        self._is_last = is_last
+        return data
+
+    def _encode(
+        self,
+        connection: h11.Connection,
+        response: messages.CallResponse,
+        headers: list[tuple[str, str]],
+        close: bool,
+    ) -> bytes:
+        """Returns the head of a response, as h11 encodes it."""
         headers.append(("content-length", str(len(response.body))))
-        if close or self._connection.their_state is not h11.DONE:
+        if close:
             headers.append(("connection", "close"))
         head = h11.Response(
             status_code=response.status,
             headers=[(n.encode(), v.encode("latin-1")) for n, v in headers],
         )
-        data = self._connection.send(head) or b""
+        data = connection.send(head) or b""
         if response.body and not self._head_only:
-            body = self._connection.send(h11.Data(data=response.body)) or b""
-            if len(body) <= _MAX_COPIED_BYTES:
-                data += body
-            else:
-                await self._stream.send_all(data)
-                data = body
-        end = self._connection.send(h11.EndOfMessage())
-        await self._stream.send_all(data + end if end else data)
+            connection.send(h11.Data(data=response.body))
+        connection.send(h11.EndOfMessage())
+        return data
 
     def release_body(self) -> None:
         """Releases the bytes reserved for the body of the last request."""
@@ -195,20 +272,18 @@
         """Closes the stream at once."""
         await trio.aclose_forcefully(self._stream)
 
-    async def _read(self) -> bool:
-        """Feeds received bytes to the parser; returns False at the end."""
+    async def _read(self) -> bytes:
+        """Returns received bytes; none at the end."""
         try:
-            data = await self._stream.receive_some(_READ_BYTES)
+            return bytes(await self._stream.receive_some(_READ_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            data = b""
-        self._connection.receive_data(bytes(data))
-        return bool(data)
+            return b""
 
-    def _parse(self) -> bool:
+    def _parse(self, parser: h11.Connection) -> bool:
         """Parses what has arrived; returns whether that ends the request."""
         while True:
             try:
-                event = self._connection.next_event()
+                event = parser.next_event()
             except h11.RemoteProtocolError as error:
                 # After the colon, the parser quotes its input, which may hold
                 # a key.
@@ -287,9 +362,9 @@
             )
         return tuple(headers)
 
-    async def _send_continue(self) -> None:
+    async def _send_continue(self, parser: h11.Connection) -> None:
         interim = h11.InformationalResponse(status_code=100, headers=[])
-        await self._stream.send_all(self._connection.send(interim) or b"")
+        await self._stream.send_all(parser.send(interim) or b"")
 
     def _to_request(self) -> messages.Request | None:
         """Returns the parsed request, or None if the client has closed."""
