Evacuate availability zones that the operator names in the store

A key op/evacuate/ZONE asks that the targets of a zone get no more calls; nodes read op/config only, and sent calls there all along. The reader of a zone reads and watches all keys of the operator, and passes the evacuated zones on with the configuration and its proof. First nodes leave the targets of these zones out of their choice; the node beside a target refuses calls as not run, queued ones included. Before a node knows, its target gets nothing where the deployment states a bound for evacuations.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -71,6 +71,15 @@
                 "Calls that the target may run at once.",
                 gate.limit,
             ),
+            "target_closed": (
+                "1 while the target beside the node gets no calls, as its zone"
+                " is evacuated or this is not known yet.",
+                int(runtime.evacuations.closes_own_zone),
+            ),
+            "evacuated_zones": (
+                "Availability zones whose targets get no calls.",
+                len(runtime.evacuations.zones),
+            ),
             "admission_level": (
                 "Calls of this rank and above are refused.",
                 gate.level,
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -178,7 +178,11 @@
     runtime: runtimes.Runtime, call: calls.Call, history: SendHistory
 ) -> targets.NodeEntry | None:
     own = runtime.entry
-    is_own = own.node_id not in history.tried and own.service == call.service
+    is_own = (
+        own.service == call.service
+        and own.node_id not in history.tried
+        and not runtime.evacuations.closes_own_zone
+    )
     if (
         is_own
         and runtime.target.gate.load < 1.0
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -44,6 +44,9 @@
         return messages.refusal(
             outcomes.Reason.LEAVING, 503, "the target takes no calls"
         )
+    refusal = _refuse_unsent(runtime)
+    if refusal is not None:
+        return refusal
     gate = target.gate
     admission = await gate.enter(call.context)
     if admission is gates.AdmissionResult.ADMITTED:
@@ -84,6 +87,10 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         if started >= call.context.deadline:
             return deadline_passed(progress)
+        # The target may have been closed while the call waited for a slot.
+        refusal = _refuse_unsent(runtime)
+        if refusal is not None:
+            return refusal
         response = await runtime.target.pool.exchange(
             front_end.target_request(
                 call, target_id, call.context.deadline - started
@@ -124,6 +131,20 @@
             gate.leave_with_error()
 
 
+def _refuse_unsent(runtime: runtimes.Runtime) -> messages.CallResponse | None:
+    """Returns why a call may not be sent to the target now; None if it may."""
+    if runtime.evacuations.closes_own_zone:
+        runtime.measurements.count(
+            "withheld_calls", str(outcomes.Reason.EVACUATED)
+        )
+        return messages.refusal(
+            outcomes.Reason.EVACUATED,
+            503,
+            "the target's availability zone is evacuated",
+        )
+    return None
+
+
 def _failure(error: errors.SassafrasError) -> messages.CallResponse:
     """Returns the response to a call that the target did not answer."""
     if isinstance(error, errors.UnreachableError):
--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -155,13 +155,30 @@
 
 
 class Codecs(Protocol):
-    """Formats of the configuration, of announcements and of readiness."""
+    """Formats of the operator's keys, of announcements and of readiness."""
 
     @property
     def configuration_key(self) -> str:
         """The key of the store that holds the configuration."""
         ...
 
+    @property
+    def operator_prefix(self) -> str:
+        """Common prefix of all keys that the operator writes."""
+        ...
+
+    def evacuated_zone(self, key: str) -> str | None:
+        """Returns the zone that a key evacuates; None for another key."""
+        ...
+
+    def check_evacuation(self, key: str, value: bytes) -> None:
+        """Checks the value of a key that evacuates a zone.
+
+        Raises:
+          InvalidInputError: The value is not valid.
+        """
+        ...
+
     def read_configuration(self, value: bytes) -> configuration.Configuration:
         """Decodes a configuration.
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -15,6 +15,7 @@
     "requests": "Requests of callers and of the target beside, by their end.",
     "sub_calls": "Requests of the target beside alone, by their end.",
     "calls": "Calls of other nodes, by their end.",
+    "withheld_calls": "Calls not sent to the target beside, by the reason.",
 }
 # Bounds the memory that a configuration with many routes can take.
 _MAX_SERIES = 64
@@ -34,7 +35,7 @@
         )
 
     def count(self, name: str, label: str = "") -> None:
-        """Adds one to a counter: `requests`, `sub_calls` or `calls`."""
+        """Adds one to one of the counters."""
         self._counts[name, label] += 1
 
     def count_end(self, name: str, response: messages.CallResponse) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -6,6 +6,7 @@
 from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import configuration
+from sassafras_node.mesh.store import evacuations
 from sassafras_node.mesh.store import members
 from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import link_messages
@@ -133,6 +134,13 @@
             ),
             entry.node_id,
         )
+    # Before the proof, which is one of the newest evacuations as well.
+    evacuations.apply_relayed(
+        runtime,
+        message.evacuated_zones,
+        message.evacuations_revision,
+        entry.node_id,
+    )
     if message.configuration:
         configuration.offer(runtime, message.configuration, entry.node_id)
     if sent_at is not None and message.configuration_version == runtime.version:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -187,6 +187,8 @@
         members=members.members,
         members_since=members.since,
         removed_members=members.removed,
+        evacuated_zones=tuple(sorted(runtime.evacuations.zones)),
+        evacuations_revision=runtime.evacuations.revision,
         configuration=(
             runtime.document if runtime.version > known_version else b""
         ),
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -24,6 +24,7 @@
 from sassafras_policy.mesh import change_log
 from sassafras_policy.mesh import configuration
 from sassafras_policy.mesh import downstream
+from sassafras_policy.mesh import evacuation
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
 from sassafras_policy.mesh import readers
@@ -73,6 +74,7 @@
       routing: Index of the active configuration; None before the first.
       document: Encoded form of that configuration, for other nodes.
       freshness: Age of the proof that it is the newest.
+      evacuations: Availability zones whose targets get no calls.
       fleet: The other nodes; updated by the store and by control links.
       target: The local target; updated by its announcements.
       target_tracker: Load and health of targets; updated by responses.
@@ -131,6 +133,10 @@
         self.document = b""
         self.freshness = freshness.Freshness(settings.bounds.revocation_s)
         self.fleet = fleets.Fleet(settings.host.node_id, _ENTRY_REWRITE_S)
+        self.evacuations = evacuation.EvacuationState(
+            settings.host.availability_zone,
+            is_expected=settings.bounds.evacuation_s > 0,
+        )
         self.call_deadlines = deadlines.DeadlineMonitor(
             _CALL_DEADLINE_INTERVAL_S
         )
--- a/packages/sassafras-node/src/sassafras_node/mesh/settings.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/settings.py
@@ -21,6 +21,7 @@
       metrics_address: Where metrics are served.
       target_address: Where the local target is reached.
       target_service: Service of the local target.
+      availability_zones: All zones of the deployment; empty if not stated.
     """
 
     node_id: str
@@ -33,6 +34,7 @@
     metrics_address: str
     target_address: str
     target_service: str
+    availability_zones: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +78,9 @@
     retry_window_s: float
     retry_extra: float
     rate_tolerance: limiters.Tolerance
-    cold_rate_tolerance: limiters.Tolerance = limiters.Tolerance(0.0, 0.0)
+    cold_rate_tolerance: limiters.Tolerance = dataclasses.field(
+        default_factory=limiters.Tolerance
+    )
     evacuation_s: float = 0.0
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
@@ -6,6 +6,7 @@
 from sassafras_base import events
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import evacuations
 from sassafras_node.mesh.store import outages
 from sassafras_policy.mesh import readers
 from sassafras_wire.store import client as store_client
@@ -31,11 +32,11 @@
 
 
 async def run(runtime: runtimes.Runtime) -> None:
-    """Follows the configuration until cancelled.
+    """Follows the configuration and the evacuations until cancelled.
 
-    The reader of a zone watches it. Each response to its waiting calls proves
-    that the configuration is the newest, so the wait bounds the age of that
-    proof. The other nodes get both from pings, and read when that fails.
+    The reader of a zone watches all keys of the operator. Each response to its
+    waiting calls proves that they are the newest, so the wait bounds the age of
+    that proof. The other nodes get both from pings, and read when that fails.
     """
     outage_log = outages.OutageLog("configuration")
     while True:
@@ -70,9 +71,10 @@
 
 async def _read(runtime: runtimes.Runtime) -> int:
     requested_at = runtime.clock.now_with_suspend()
-    listing = await runtime.platform.store.get(
-        runtime.platform.codecs.configuration_key
+    listing = await runtime.platform.store.get_prefix(
+        runtime.platform.codecs.operator_prefix
     )
+    evacuations.apply_listing(runtime, listing)
     _offer_changes(runtime, listing)
     runtime.freshness.confirm(requested_at)
     return listing.revision
@@ -82,9 +84,10 @@
     wait_s = readers.wait_s(runtime.max_proof_age_s)
     requested_at = runtime.clock.now_with_suspend()
     listing = await runtime.platform.store.changes(
-        runtime.platform.codecs.configuration_key, revision, wait_s
+        runtime.platform.codecs.operator_prefix, revision, wait_s
     )
     runtime.reaches_store = True
+    evacuations.apply_changes(runtime, listing)
     _offer_changes(runtime, listing)
     runtime.freshness.confirm(requested_at)
     return listing.revision
--- a/packages/sassafras-policy/src/sassafras_policy/calls/outcomes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/outcomes.py
@@ -34,3 +34,5 @@
     BODY_TOO_LARGE = "body-too-large"
     MEMORY = "memory"
     NO_CONFIGURATION = "no-configuration"
+    EVACUATED = "evacuated-zone"
+    COLD_TARGET = "cold-target"
--- /dev/null
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/evacuation.py
@@ -0,0 +1,116 @@
+"""Which availability zones are evacuated, as of a revision of the store."""
+
+from collections.abc import Iterable
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneChange:
+    """A change of the request to evacuate one zone.
+
+    Attributes:
+      zone: The availability zone.
+      is_evacuated: Whether the request exists after the change.
+      revision: Revision of the store at which it changed.
+    """
+
+    zone: str
+    is_evacuated: bool
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """What a node has learned at once.
+
+    Attributes:
+      begun: Zones that are evacuated now and were not before.
+      ended: Zones that were evacuated and may get calls again.
+    """
+
+    begun: frozenset[str] = frozenset()
+    ended: frozenset[str] = frozenset()
+
+    def __bool__(self) -> bool:
+        """Returns whether anything has changed."""
+        return bool(self.begun or self.ended)
+
+
+_NO_DIFFERENCE = Difference()
+
+
+class EvacuationState:
+    """The evacuated zones, read from the store or received from other nodes.
+
+    What is known of a later revision is kept: updates arrive from several
+    readers of the store and over links in any order.
+
+    Attributes:
+      zones: The evacuated zones.
+      revision: Revision of the store as of which they are complete; 0 while
+        nothing is known.
+      closes_own_zone: Whether the local target gets no calls, because its zone
+        is evacuated or because it is not known yet whether it is.
+    """
+
+    def __init__(self, own_zone: str, is_expected: bool) -> None:
+        """Creates the state of a node that has just started.
+
+        Args:
+          own_zone: Availability zone of the node.
+          is_expected: Whether the deployment evacuates zones. Elsewhere the
+            local target gets calls before the store has been read.
+        """
+        self._own_zone = own_zone
+        self.zones: frozenset[str] = frozenset()
+        self.revision = 0
+        self.closes_own_zone = is_expected
+
+    def replace(self, zones: Iterable[str], revision: int) -> Difference:
+        """Sets the complete set of a revision, unless a later one is known."""
+        if revision < self.revision:
+            return _NO_DIFFERENCE
+        return self._set(frozenset(zones), revision)
+
+    def apply_changes(
+        self, changes: Iterable[ZoneChange], revision: int
+    ) -> Difference:
+        """Applies changes in the order of the store.
+
+        Args:
+          changes: All changes since a revision that this state has passed.
+          revision: Revision up to which they are complete.
+        """
+        zones = set(self.zones)
+        for change in changes:
+            if change.revision <= self.revision:
+                # Another reader has passed on a later state than this one.
+                continue
+            if change.is_evacuated:
+                zones.add(change.zone)
+            else:
+                zones.discard(change.zone)
+        return self._set(frozenset(zones), max(revision, self.revision))
+
+    def _set(self, zones: frozenset[str], revision: int) -> Difference:
+        difference = Difference(zones - self.zones, self.zones - zones)
+        self.zones = zones
+        self.revision = revision
+        self.closes_own_zone = self._own_zone in zones
+        return difference
+
+
+def services_without_target(
+    places: Iterable[tuple[str, str]], zones: frozenset[str]
+) -> frozenset[str]:
+    """Returns the services of which all targets are in evacuated zones.
+
+    Args:
+      places: Service and availability zone of each target.
+      zones: The evacuated zones.
+    """
+    closed: set[str] = set()
+    open_services: set[str] = set()
+    for service, zone in places:
+        (closed if zone in zones else open_services).add(service)
+    return frozenset(closed - open_services)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
@@ -34,6 +34,7 @@
         self.rewrite_timeout_s = rewrite_timeout_s
         self.changes = 0
         self._own_id = own_id
+        self._evacuated: frozenset[str] = frozenset()
         self._members: dict[str, Member] = {}
         self._serving: dict[tuple[str, str], list[targets.NodeEntry]] | None = (
             None
@@ -66,6 +67,11 @@
         self._serving = None
         self.changes += 1
 
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Excludes the targets of these availability zones from `serving`."""
+        self._evacuated = zones
+        self._serving = None
+
     @property
     def listed_entries(self) -> list[targets.NodeEntry]:
         """The entries that have not lapsed in the store."""
@@ -127,7 +133,10 @@
         if self._serving is None:
             index: dict[tuple[str, str], list[targets.NodeEntry]] = {}
             for entry in self.entries:
-                if entry.service:
+                if (
+                    entry.service
+                    and entry.availability_zone not in self._evacuated
+                ):
                     near = entry.service, entry.availability_zone
                     index.setdefault(near, []).append(entry)
                     index.setdefault((entry.service, ""), []).append(entry)
--- a/packages/sassafras-standins/src/sassafras_standins/platform/documents.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/documents.py
@@ -17,6 +17,7 @@
     "Public",
     "Service",
 )
+_SERVICE_COLUMNS = ("Name", "ColdStartS", "ColdPerS")
 _TENANT_COLUMNS = ("Name", "ApiKeys", "Priority", "RatePerS", "Burst")
 
 
@@ -47,10 +48,20 @@
     priority: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRow:
+    """One row of the table of services."""
+
+    name: str
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float = 0.0
+
+
 def configuration(
     version: int,
     routes: tuple[RouteRow, ...],
     tenants: tuple[TenantRow, ...] = (),
+    services: tuple[ServiceRow, ...] = (),
 ) -> bytes:
     """Returns the value of the configuration key in the store."""
     content: dict[str, Any] = {
@@ -59,7 +70,12 @@
             "Columns": list(_ROUTE_COLUMNS),
             "Rows": [_encode_route(route) for route in routes],
         },
-        "Services": {"Columns": ["Name"], "Rows": []},
+        "Services": {
+            "Columns": list(_SERVICE_COLUMNS),
+            "Rows": [
+                [s.name, s.cold_start_s, s.cold_rate_per_s] for s in services
+            ],
+        },
         "Limits": {
             "MaxHeaderBytes": 16384,
             "MaxBodyBytes": 67108864,
@@ -107,6 +123,8 @@
     target_address: str,
     service: str,
     store_address: str,
+    zones: tuple[str, ...] = (),
+    more_bounds: tuple[str, ...] = (),
 ) -> bytes:
     """Returns the boot file of a node.
 
@@ -118,12 +136,15 @@
       target_address: Listening address of the local endpoint.
       service: Service of the local endpoint.
       store_address: Address of the store.
+      zones: All zones; only the node's own if empty.
+      more_bounds: Bounds of the form `name=value` beside those of all sites.
     """
     return json.dumps(
         {
             "Node": node,
             "Ip": ip,
             "Zone": zone,
+            "Zones": dict.fromkeys(zones or (zone,), "region"),
             "ListenAddresses": {
                 name: f"{ip}:{ports[name]}"
                 for name in ("Outbound", "Ready", "Control")
@@ -141,6 +162,7 @@
                 "BudgetExtra=48",
                 "QuotaOver=0.1",
                 "QuotaSlack=20",
+                *more_bounds,
             ],
             "AppAddress": target_address,
             "Service": service,
--- a/packages/sassafras-standins/src/sassafras_standins/platform/machines.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/machines.py
@@ -34,6 +34,8 @@
       ip: Loopback address of the machine.
       service: Service of its endpoint.
       ports: Ports by `Outbound`, `Ready`, `Control`, `Internal` and `App`.
+      zones: All zones of the site; only its own if empty.
+      more_bounds: Bounds of the site beside those of all sites.
     """
 
     name: str
@@ -41,6 +43,8 @@
     ip: str
     service: str
     ports: dict[str, int]
+    zones: tuple[str, ...] = ()
+    more_bounds: tuple[str, ...] = ()
 
     def address(self, port: str) -> str:
         """Returns `host:port` for one of the names in `ports`."""
@@ -56,6 +60,8 @@
             target_address=self.address("App"),
             service=self.service,
             store_address=store_address,
+            zones=self.zones,
+            more_bounds=self.more_bounds,
         )
 
     def endpoint_settings(self, **changes: object) -> endpoint.EndpointSettings:
@@ -70,11 +76,17 @@
         return dataclasses.replace(settings, **changes)  # type: ignore[arg-type]
 
 
-def make_machine(name: str, zone: str, service: str) -> Machine:
+def make_machine(
+    name: str,
+    zone: str,
+    service: str,
+    zones: tuple[str, ...] = (),
+    more_bounds: tuple[str, ...] = (),
+) -> Machine:
     """Returns a machine with its own address and free ports."""
     host = _FIRST_HOST + next(_next_host) % _HOSTS_PER_NETWORK
     first = int(launcher.free_address().rpartition(":")[2])
     ports = {port: first + offset for port, offset in _PORT_OFFSETS.items()}
     process = os.getpid()
     ip = f"127.{1 + process % _NETWORKS}.{process // _NETWORKS % 256}.{host}"
-    return Machine(name, zone, ip, service, ports)
+    return Machine(name, zone, ip, service, ports, zones, more_bounds)
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -99,6 +99,9 @@
       members_since: Revision after which `members` and `removed_members` have
         changed; None if `members` are the entries of all nodes.
       removed_members: Nodes whose entries are gone from the store.
+      evacuated_zones: Availability zones whose targets get no calls.
+      evacuations_revision: Revision of the store as of which these are all; 0
+        if the node does not know.
     """
 
     type: Literal["mesh_news"] = "mesh_news"
@@ -114,6 +117,8 @@
     members: bytes = b""
     members_since: int | None = None
     removed_members: tuple[str, ...] = ()
+    evacuated_zones: tuple[str, ...] = ()
+    evacuations_revision: int = pydantic.Field(default=0, ge=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -56,7 +56,12 @@
       nodes: Runtimes of the nodes by the name of their machine.
     """
 
-    def __init__(self, nursery: trio.Nursery, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        folder: pathlib.Path,
+        more_bounds: tuple[str, ...] = (),
+    ) -> None:
         self.store = store_standin.MetadataStore()
         self.store_address = launcher.free_address()
         self.machines: dict[str, machines.Machine] = {}
@@ -66,12 +71,19 @@
         self._ended: dict[str, trio.Event] = {}
         self._nursery = nursery
         self._folder = folder
+        self._more_bounds = more_bounds
         self._numbers = 0
 
     async def add_machine(
         self, name: str, zone: str = "zone-a", service: str = "front", **changes
     ) -> machines.Machine:
-        machine = machines.make_machine(name, zone, service)
+        machine = machines.make_machine(
+            name,
+            zone,
+            service,
+            zones=("zone-a", "zone-b", "zone-far"),
+            more_bounds=self._more_bounds,
+        )
         self.machines[name] = machine
         await self.start_node(name)
         server = endpoint.Endpoint(machine.endpoint_settings(**changes))
@@ -132,9 +144,11 @@
         version: int,
         routes: tuple[documents.RouteRow, ...] = (SAFE, UNSAFE, OPEN),
         tenants: tuple[documents.TenantRow, ...] = (TENANT,),
+        services: tuple[documents.ServiceRow, ...] = (),
     ) -> None:
         self.store.put(
-            "op/config", documents.configuration(version, routes, tenants)
+            "op/config",
+            documents.configuration(version, routes, tenants, services),
         )
 
     async def wait_until_version(self, version: int) -> None:
@@ -199,11 +213,15 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, *, version: int = 1, **options
+    folder: pathlib.Path,
+    *,
+    version: int = 1,
+    more_bounds: tuple[str, ...] = (),
+    **options,
 ) -> AsyncIterator[Fleet]:
     """Runs a fleet without machines, and its store with a configuration."""
     async with trio.open_nursery() as nursery:
-        fleet = Fleet(nursery, folder)
+        fleet = Fleet(nursery, folder, more_bounds)
         await nursery.start(fleet.store.run, fleet.store_address)
         if version:
             fleet.configure(version, **options)
