Keep the rate of cold targets at the node beside them

A cold target bears cold_rate_per_s calls a second and fails well above it; nodes sent to it as to a warm one. The node beside the target holds back what exceeds the rate, by a token bucket and by the times of the last calls, which count those sent while it was warm. A target is cold while it says so, after its address refused a connection, after its zone was taken back and after a silence, until a later announcement says otherwise. Important requests and sub-calls go first. Responses tell other nodes, which prefer warm targets with room.

--- a/packages/sassafras-base/src/sassafras_base/errors.py
+++ b/packages/sassafras-base/src/sassafras_base/errors.py
@@ -30,6 +30,10 @@
     """The other side could not be reached; nothing was sent to it."""
 
 
+class RefusedError(UnreachableError):
+    """No process accepts connections at the other side's address."""
+
+
 class ConnectionLostError(SassafrasError):
     """The connection ended after something may have been sent on it."""
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -76,6 +76,11 @@
                 " is evacuated or this is not known yet.",
                 int(runtime.evacuations.closes_own_zone),
             ),
+            "target_cold": (
+                "1 while the target beside the node gets calls at the rate of"
+                " a cold one only.",
+                int(runtime.target.is_cold),
+            ),
             "evacuated_zones": (
                 "Availability zones whose targets get no calls.",
                 len(runtime.evacuations.zones),
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -186,6 +186,7 @@
     if (
         is_own
         and runtime.target.gate.load < 1.0
+        and not runtime.target.is_cold
         and not runtime.target_tracker.is_ejected(own.node_id)
         and not _must_avoid(runtime, call, own.node_id)
     ):
@@ -196,7 +197,7 @@
         sample = _sample(runtime, others, _WIDE_SAMPLE_SIZE)
         if is_own:
             sample = [*sample, own]
-        candidates = _candidates(runtime, sample)
+        candidates = balancers.prefer_warm(_candidates(runtime, sample))
         if call.stage:
             candidates = balancers.least_rejecting(candidates)
         choice = runtime.balancer.choose(candidates)
@@ -229,9 +230,11 @@
     zone = runtime.entry.availability_zone
     near = _untried(runtime.fleet.serving(service, zone), tried)
     choice = runtime.balancer.choose(
-        _candidates(runtime, _sample(runtime, near, _SAMPLE_SIZE))
+        balancers.prefer_warm(
+            _candidates(runtime, _sample(runtime, near, _SAMPLE_SIZE))
+        )
     )
-    if choice is None or choice.ejected or choice.score >= 1.0:
+    if choice is None or choice.ejected or choice.cold or choice.score >= 1.0:
         return None
     return choice
 
@@ -256,6 +259,7 @@
     runtime: runtimes.Runtime, entries: list[targets.NodeEntry]
 ) -> list[balancers.Candidate]:
     zone = runtime.entry.availability_zone
+    is_cold_limited = bool(entries) and runtime.limits_cold(entries[0].service)
     return [
         runtime.target_tracker.make_candidate(
             entry.node_id,
@@ -266,6 +270,7 @@
             same_zone=entry.availability_zone == zone,
             slots=entry.target.capacity if entry.target else 1,
             cold_start_s=entry.target.cold_start_s if entry.target else 0.0,
+            is_cold_limited=is_cold_limited,
         )
         for entry in entries
     ]
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -44,7 +44,7 @@
         return messages.refusal(
             outcomes.Reason.LEAVING, 503, "the target takes no calls"
         )
-    refusal = _refuse_unsent(runtime)
+    refusal = _refuse_unsent(runtime, call)
     if refusal is not None:
         return refusal
     gate = target.gate
@@ -64,7 +64,10 @@
         )
     return dataclasses.replace(
         response,
-        load=gate.load,
+        load=max(gate.load, response.load),
+        cold_s=target.cold_start.remaining_s(runtime.clock.now())
+        if target.is_cold
+        else 0.0,
         levels=((call.service, runtime.effective_level(call)),),
     )
 
@@ -87,10 +90,13 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         if started >= call.context.deadline:
             return deadline_passed(progress)
-        # The target may have been closed while the call waited for a slot.
-        refusal = _refuse_unsent(runtime)
+        # The target may have become cold, or its zone been evacuated, while
+        # the call waited for a slot.
+        refusal = _refuse_unsent(runtime, call)
         if refusal is not None:
             return refusal
+        if runtime.target.cold_start.rate_per_s:
+            runtime.target.cold_start.record_call(started)
         response = await runtime.target.pool.exchange(
             front_end.target_request(
                 call, target_id, call.context.deadline - started
@@ -120,6 +126,9 @@
             sub_call_failed=runtime.sub_call_failed_at >= started,
         )
     except errors.SassafrasError as error:
+        if isinstance(error, errors.RefusedError):
+            # The target has ended, and may start again under the same id.
+            runtime.target.doubt_warmth("connection refused")
         if runtime.clock.now() >= call.context.deadline:
             return deadline_passed(progress)
         return _failure(error)
@@ -131,18 +140,50 @@
             gate.leave_with_error()
 
 
-def _refuse_unsent(runtime: runtimes.Runtime) -> messages.CallResponse | None:
+def _refuse_unsent(
+    runtime: runtimes.Runtime, call: calls.Call
+) -> messages.CallResponse | None:
     """Returns why a call may not be sent to the target now; None if it may."""
     if runtime.evacuations.closes_own_zone:
-        runtime.measurements.count(
-            "withheld_calls", str(outcomes.Reason.EVACUATED)
-        )
-        return messages.refusal(
+        return _withhold(
+            runtime,
             outcomes.Reason.EVACUATED,
-            503,
             "the target's availability zone is evacuated",
+            # The first node knows of it by then, or has another view.
+            runtime.settings.bounds.configuration_apply_s,
         )
-    return None
+    cold_start = runtime.target.cold_start
+    if not cold_start.rate_per_s:
+        return None
+    now = runtime.clock.now()
+    if not cold_start.refuses(
+        call.context, runtime.target.gate.open_level, now
+    ):
+        return None
+    return _withhold(
+        runtime,
+        outcomes.Reason.COLD_TARGET,
+        f"the target of service {call.service} is cold",
+        cold_start.remaining_s(now),
+    )
+
+
+def _withhold(
+    runtime: runtimes.Runtime,
+    reason: outcomes.Reason,
+    detail: str,
+    cold_s: float,
+) -> messages.CallResponse:
+    """Counts and returns the refusal of a call that a target cannot take."""
+    runtime.measurements.count("withheld_calls", str(reason))
+    return dataclasses.replace(
+        messages.refusal(
+            reason, 503, detail, retry_after_ms=messages.RETRY_AFTER_MS
+        ),
+        # A target that takes no more calls is as good as full.
+        load=1.0,
+        cold_s=cold_s,
+    )
 
 
 def _failure(error: errors.SassafrasError) -> messages.CallResponse:
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -222,6 +222,13 @@
         """Version of the active configuration; 0 for none."""
         return self.routing.source.version if self.routing else 0
 
+    def limits_cold(self, service: str) -> bool:
+        """Returns whether cold targets of a service get a low rate only."""
+        return (
+            self.routing is not None
+            and self.routing.cold_rate_per_s(service) > 0
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether callers of this host should send new work."""
@@ -257,6 +264,9 @@
         )
         class_count = _class_count(decoded)
         self.target.set_class_count(class_count)
+        self.target.cold_start.configure(
+            self.routing.cold_rate_per_s(self.settings.host.target_service)
+        )
         self.processor.resize(class_count)
         self.downstream_levels.keep_routes(
             frozenset(r.name for r in decoded.routes)
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/evacuations.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/evacuations.py
@@ -138,11 +138,32 @@
         zone_evacuated(zone, state.revision, source)
     for zone in sorted(difference.ended):
         zone_taken_back(zone, state.revision, source)
+    if difference.ended:
+        _expect_cold_targets(runtime, difference.ended)
     if source == _STORE:
         _log_doubtful(runtime, difference.begun)
         runtime.publish_relay()
 
 
+def _expect_cold_targets(
+    runtime: runtimes.Runtime, ended: frozenset[str]
+) -> None:
+    """Has targets of zones that were taken back considered cold.
+
+    They have had no calls, and often are. Without this, the first calls after
+    the end of an evacuation would be refused by one of them after the other.
+    """
+    if runtime.entry.availability_zone in ended:
+        runtime.target.doubt_warmth("its zone is no longer evacuated")
+    if runtime.routing is None:
+        return
+    for entry in runtime.fleet.entries:
+        if entry.availability_zone in ended and (
+            cold_s := runtime.routing.cold_start_s(entry.service)
+        ):
+            runtime.target_tracker.record_cold(entry.node_id, cold_s)
+
+
 def _log_doubtful(runtime: runtimes.Runtime, begun: frozenset[str]) -> None:
     """Logs requests that the operator may not have meant.
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -5,8 +5,10 @@
 import trio
 
 from sassafras_base import clock as clocks
+from sassafras_base import events
 from sassafras_node.mesh import settings as mesh_settings
 from sassafras_node.targets import gate as gates
+from sassafras_policy.admission import cold_starts
 from sassafras_policy.admission import policies
 from sassafras_policy.mesh import targets
 from sassafras_wire.http import deadlines
@@ -20,11 +22,29 @@
 _SILENT_INTERVALS = 6.0
 
 
+@events.declare(814, "INFO")
+def target_cold(target_id: str, cold_s: float, cause: str) -> str:
+    """The local target is cold, or may be, and gets calls at a low rate.
+
+    `cold_s` is how long it stays so, as far as is known. `cause` is what it
+    announced, that its address refused a connection, or that its availability
+    zone is no longer evacuated.
+    """
+    return f"target {target_id} is cold for {cold_s:.1f} s: {cause}"
+
+
+@events.declare(815, "INFO")
+def target_warm(target_id: str) -> str:
+    """The local target has announced that it is not cold any more."""
+    return f"target {target_id} is warm"
+
+
 class LocalTarget:
     """The target's current announcement, its connections and its admission.
 
     Attributes:
       gate: Admits calls.
+      cold_start: Limits the calls while the target is cold.
       pool: Connections to the target.
       restored: Set when the node knows what its previous process published.
         Before that, an announcement may be a late one of a target that has
@@ -45,6 +65,11 @@
         self._announced_at = -math.inf
         self.restored = trio.Event()
         self._class_count = 1
+        self.cold_start = cold_starts.ColdStart(
+            settings.bounds.cold_rate_tolerance,
+            settings.bounds.announcement_interval_s,
+        )
+        self._is_cold_logged = False
         self.gate = self._new_gate(1)
         self.pool = self._new_pool()
 
@@ -76,6 +101,22 @@
     def _silence_limit_s(self) -> float:
         return _SILENT_INTERVALS * self._settings.bounds.announcement_interval_s
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the target gets calls at the rate of a cold one only."""
+        return self.cold_start.rate_per_s > 0 and self.cold_start.is_cold(
+            self._clock.now()
+        )
+
+    def doubt_warmth(self, cause: str) -> None:
+        """Considers the target cold until it announces that it is not.
+
+        Args:
+          cause: Why, for the log.
+        """
+        self.cold_start.doubt(self._clock.now())
+        self._log_cold(cause)
+
     def restore(self, previous: targets.Announcement) -> None:
         """Takes over what the previous process of the node published.
 
@@ -102,16 +143,19 @@
         if not self._register.offer(announcement, now):
             return False
         self._announced_at = now
-        if (
+        is_new_start = (
             previous is None
             or previous.target_id != announcement.target_id
             or previous.started_ms != announcement.started_ms
             or self._published is None
-        ):
+        )
+        self.cold_start.announce(announcement.cold_start_s, is_new_start, now)
+        self._log_cold("announced")
+        if is_new_start:
             await self.pool.close()
             self.pool = self._new_pool()
             self.gate = self._new_gate(announcement.capacity)
-        elif previous.capacity != announcement.capacity:
+        elif previous and previous.capacity != announcement.capacity:
             self.gate.resize(announcement.capacity, self._class_count)
         published = self._published
         if published is not None and _is_same(published, announcement):
@@ -130,6 +174,18 @@
         self._published = self._register.current
         return True
 
+    def _log_cold(self, cause: str) -> None:
+        is_cold = self.is_cold
+        current = self._register.current
+        if is_cold == self._is_cold_logged or current is None:
+            return
+        self._is_cold_logged = is_cold
+        if is_cold:
+            remaining_s = self.cold_start.remaining_s(self._clock.now())
+            target_cold(current.target_id, round(remaining_s, 3), cause)
+        else:
+            target_warm(current.target_id)
+
     def _new_gate(self, slots: int) -> gates.AdmissionGate:
         name = self._settings.policy.admission
         factory = policies.admission_policies.get(name)
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -47,6 +47,7 @@
         """Records the load in a response and how the call ended."""
         target = self._tracked(node_id).health
         now = self._clock.now()
+        target.record_cold(response.cold_s, now)
         rejected = response.reason is outcomes.Reason.TURNED_AWAY
         if rejected or response.outcome is outcomes.Outcome.RAN:
             target.record_rejection(rejected, now)
@@ -59,6 +60,10 @@
         else:
             target.record_load(response.load, now)
 
+    def record_cold(self, node_id: str, cold_s: float) -> None:
+        """Records that a target is cold for this long."""
+        self._tracked(node_id).health.record_cold(cold_s, self._clock.now())
+
     def record_failure(self, node_id: str) -> None:
         """Records that the peer was lost or could not be reached."""
         self._record_failure(node_id, at_once=True)
@@ -100,6 +105,7 @@
         same_zone: bool,
         slots: int,
         cold_start_s: float,
+        is_cold_limited: bool = False,
     ) -> balancers.Candidate:
         """Returns a target as input for the balancer.
 
@@ -109,11 +115,13 @@
           same_zone: Whether it is in this node's availability zone.
           slots: Calls that the target can run at once.
           cold_start_s: How long the target is slow after its start.
+          is_cold_limited: Whether it gets calls at a low rate only until then.
         """
         tracked = self._tracked(node_id)
         target = tracked.health
         now = self._clock.now()
-        target.set_identity(identity, now)
+        if target.set_identity(identity, now) and is_cold_limited:
+            target.record_cold(cold_start_s, now)
         return balancers.Candidate(
             node_id=node_id,
             same_zone=same_zone,
@@ -123,6 +131,7 @@
             errors=target.errors(now),
             ejected=target.is_ejected(now),
             rejected_share=target.rejected_share(now),
+            cold=target.is_cold(now),
         )
 
     def drop(self, node_id: str) -> None:
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -26,6 +26,7 @@
       ejected: Whether it is ejected because of errors.
       rejected_share: Share of the calls that it rejected of late, of those that
         reached it.
+      cold: Whether it gets calls at a low rate only.
     """
 
     node_id: str
@@ -36,6 +37,7 @@
     errors: float = 0.0
     ejected: bool = False
     rejected_share: float = 0.0
+    cold: bool = False
 
     @property
     def score(self) -> float:
@@ -67,6 +69,20 @@
     return [c for c in candidates if c.node_id not in excluded]
 
 
+def prefer_warm(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Returns the warm candidates with room, or all if there are none.
+
+    A cold target has a low load, as it gets calls at a low rate only, and
+    balancers would prefer it.
+    """
+    if not any(c.cold for c in candidates):
+        return candidates
+    warm = [
+        c for c in candidates if not c.cold and not c.ejected and c.score < 1.0
+    ]
+    return warm or candidates
+
+
 def least_rejecting(candidates: Sequence[Candidate]) -> list[Candidate]:
     """Returns those of the candidates with room that reject the fewest calls.
 
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
@@ -27,6 +27,7 @@
         self._errors_at = 0.0
         self._rejected_share = 0.0
         self._rejected_at = 0.0
+        self._cold_until = 0.0
         self._consecutive_failures = 0
         self._ejected_until = 0.0
         self._ejection_s = 0.0
@@ -38,11 +39,16 @@
         """The length of the last ejection; 0 if there was no recent one."""
         return self._ejection_s
 
-    def set_identity(self, identity: object, now: float) -> None:
-        """Sets the target's identity; a new one begins with a slow start."""
+    def set_identity(self, identity: object, now: float) -> bool:
+        """Sets the target's identity; a new one begins with a slow start.
+
+        Returns:
+          Whether it has replaced another one.
+        """
         if identity == self._identity:
-            return
-        if self._identity is not None:
+            return False
+        is_replaced = self._identity is not None
+        if is_replaced:
             self._ejected_until = 0.0
             self._ejection_s = 0.0
             self._consecutive_failures = 0
@@ -50,6 +56,7 @@
             self._rejected_share = 0.0
         self._identity = identity
         self._serving_since = max(now, self._ejected_until)
+        return is_replaced
 
     def record_success(self, load: float, now: float) -> None:
         """Records a response of the target and the load that it carried."""
@@ -63,6 +70,14 @@
         self._load = load
         self._load_at = now
 
+    def record_cold(self, cold_s: float, now: float) -> None:
+        """Records for how long the target stays cold; 0 if it is warm."""
+        self._cold_until = now + cold_s if cold_s else 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Returns whether the target was cold by its last response."""
+        return now < self._cold_until
+
     def record_rejection(self, rejected: bool, now: float) -> None:
         """Records whether the target rejected a call that reached it."""
         if not rejected and not self._rejected_share:
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -94,6 +94,8 @@
       retry_after_ms: Retry-After delay of a refusal; 0 for none.
       levels: Admission level of each service that the call passed through.
       load: Load of the target that responded; 1.0 when its limit is reached.
+      cold_s: For how long other targets should be preferred to that one, as it
+        is cold or its availability zone is evacuated; 0 if they should not.
       leaving: Whether that target takes no more work.
       retryable: Whether another target of the service may be tried.
       sub_call_failed: Whether a sub-call of the target failed, so that an
@@ -108,6 +110,7 @@
     retry_after_ms: int = 0
     levels: tuple[tuple[str, int], ...] = ()
     load: float = 0.0
+    cold_s: float = 0.0
     leaving: bool = False
     retryable: bool = False
     sub_call_failed: bool = False
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/routing.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/routing.py
@@ -43,6 +43,7 @@
         self._by_host: dict[str, dict[str, configuration.Route]] = {}
         self._rotations: dict[str, WeightedRotation] = {}
         self._by_digest: dict[str, configuration.Organisation] = {}
+        self._services = {service.name: service for service in source.services}
         for route in source.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
@@ -51,6 +52,18 @@
             for key in organisation.account.keys:
                 self._by_digest[key.digest] = organisation
 
+    def cold_start_s(self, service: str) -> float:
+        """Returns for how long targets are cold that bear a low rate then."""
+        stated = self._services.get(service)
+        if stated is None or not stated.cold_rate_per_s:
+            return 0.0
+        return stated.cold_start_s
+
+    def cold_rate_per_s(self, service: str) -> float:
+        """Returns the calls that a cold target bears; 0 for no bound."""
+        stated = self._services.get(service)
+        return stated.cold_rate_per_s if stated else 0.0
+
     def rotation(self, name: str) -> WeightedRotation | None:
         """Returns the rotation of a route."""
         return self._rotations.get(name)
--- a/packages/sassafras-standins/src/sassafras_standins/platform/endpoint.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/endpoint.py
@@ -12,6 +12,7 @@
 from sassafras_standins import serving
 from sassafras_wire.http import pool
 
+_HEALTH_PATH = "/health"
 _BODY_LIMIT = 4 * 1024 * 1024
 
 
@@ -41,6 +42,8 @@
       slots: Requests that it executes at once; more wait in its queue.
       work_s: Time that a request takes, without its sub-calls.
       heartbeat_s: Time between heartbeats.
+      cold_crash_rate_per_s: While cold, it crashes when it gets more requests
+        within a second; 0 if it never does.
       sub_calls: Calls made for each request, in order.
     """
 
@@ -52,6 +55,7 @@
     slots: int = 20
     work_s: float = 0.02
     heartbeat_s: float = 0.5
+    cold_crash_rate_per_s: float = 0.0
     sub_calls: tuple[SubCall, ...] = ()
 
 
@@ -86,6 +90,9 @@
       executions: Number of executions of each request id.
       last_execution_at: Start of the last execution, on trio's clock; 0 before
         the first.
+      cold_arrivals: Times of arrival, on trio's clock, of requests that it got
+        while it was cold.
+      crashes: How often it was cold and got more requests than it bears.
       received_headers: Header fields of the last execution of each request id.
     """
 
@@ -96,7 +103,10 @@
         self.state = "ready"
         self.executions: dict[str, int] = {}
         self.last_execution_at = 0.0
+        self.cold_arrivals: list[float] = []
+        self.crashes = 0
         self.received_headers: dict[str, dict[str, str]] = {}
+        self._cold_until = 0.0
         self._started_ms = int(time.time() * 1000)
         self._sequence = 0
         self._slots = trio.CapacityLimiter(settings.slots)
@@ -118,12 +128,15 @@
 
     async def handle(self, request: messages.Request) -> messages.CallResponse:
         """Serves one request."""
+        if request.path_without_query == _HEALTH_PATH:
+            return self._health()
         request_id = request.header("request-id")
         expected_id = request.header("target-instance")
         if request_id is None:
             return self._reject(400)
         if expected_id is not None and expected_id != self.target_id:
             return self._reject(421)
+        self._record_cold_arrival()
         if self.behaviour.turns_away:
             return self._reject(503)
         async with self._slots:
@@ -137,6 +150,26 @@
         status = 500 if failed or self.behaviour.fails else 200
         return self._response(status, request_id, request.body or b"whole body")
 
+    @property
+    def cold_remaining_s(self) -> float:
+        """How much longer it stays cold."""
+        return max(0.0, self._cold_until - trio.current_time())
+
+    def become_cold(self, cold_s: float) -> None:
+        """Makes it cold for a time, as after a start."""
+        self._cold_until = trio.current_time() + cold_s
+
+    def max_cold_arrivals(self, window_s: float = 1.0) -> int:
+        """Returns the most requests that arrived within a window while cold."""
+        times = self.cold_arrivals
+        return max(
+            (
+                sum(first <= time < first + window_s for time in times)
+                for first in times
+            ),
+            default=0,
+        )
+
     def restart(self) -> None:
         """Gives it the identity of a new instance at the same address."""
         self.target_id = f"i-{secrets.token_hex(5)}"
@@ -155,7 +188,7 @@
             "Version": "v1",
             "Capacity": self.settings.slots,
             "State": self.state,
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": self.cold_remaining_s * 1000,
             "Sequence": sequence,
             "born": self._started_ms,
         }
@@ -174,6 +207,26 @@
                 pass
             await trio.sleep(self.settings.heartbeat_s)
 
+    def _record_cold_arrival(self) -> None:
+        if not self.cold_remaining_s:
+            return
+        now = trio.current_time()
+        self.cold_arrivals.append(now)
+        limit = self.settings.cold_crash_rate_per_s
+        if limit and sum(t > now - 1.0 for t in self.cold_arrivals) > limit:
+            self.crashes += 1
+            raise trio.BrokenResourceError("the cold endpoint crashes")
+
+    def _health(self) -> messages.CallResponse:
+        return _with_headers(
+            200,
+            [
+                ("instance-id", self.target_id),
+                ("cold-ms", str(int(self.cold_remaining_s * 1000))),
+            ],
+            b"",
+        )
+
     async def _post(self, action: str, body: bytes) -> int:
         response = await self._control.exchange(
             messages.Request(
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -81,12 +81,17 @@
     """Opens a connection to a `host:port` address.
 
     Raises:
+      RefusedError: Nothing listens at the address.
       UnreachableError: The server did not accept within the timeout.
     """
     try:
         host, port = split_address(address)
         with trio.fail_after(timeout_s):
             return await sockets.SocketStream.connect(host, port)
+    except ConnectionRefusedError as error:
+        raise errors.RefusedError(
+            step, address, f"cannot connect: {error!r}"
+        ) from None
     except (OSError, ValueError, OverflowError, trio.TooSlowError) as error:
         # A port that is no number or out of range raises the two in the middle.
         raise errors.UnreachableError(
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -66,6 +66,7 @@
       headers: Header fields for the caller.
       body: Complete body.
       load: Load of the target; 1.0 when its concurrency limit is in use.
+      cold_s: For how long other targets should be preferred.
       level: Admission level of the target and of its downstream services; None
         if the call did not reach admission control.
       sub_call_failed: Whether a sub-call of the target failed.
@@ -81,6 +82,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     load: float = 0.0
+    cold_s: float = pydantic.Field(default=0.0, ge=0)
     level: int | None = None
     sub_call_failed: bool = False
     is_last: bool = False
@@ -194,6 +196,8 @@
         content["body"] = response.body
     if response.levels:
         content["level"] = response.levels[0][1]
+    if response.cold_s:
+        content["cold_s"] = response.cold_s
     if response.sub_call_failed:
         content["sub_call_failed"] = True
     if is_last:
@@ -218,6 +222,7 @@
         headers=message.headers,
         body=message.body,
         load=message.load,
+        cold_s=message.cold_s,
         levels=() if level is None else ((service, level),),
         sub_call_failed=message.sub_call_failed,
     )
