--- a/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/logs/causes.py
@@ -110,6 +110,24 @@
     )
 
 
+@causes.register("cold-target")
+def _all_targets_cold(ended: lines.Line, events: list[lines.Line]) -> str:
+    del events
+    return (
+        f"the targets at {ended.text('nodes')} were cold and had their rate;"
+        " when they became cold is event 814 of these nodes"
+    )
+
+
+@causes.register("evacuated-zone")
+def _zone_evacuated(ended: lines.Line, events: list[lines.Line]) -> str:
+    del events
+    return (
+        f"the zone of {ended.text('nodes')} was evacuated, which the first node"
+        " did not know yet; see events 860 of both"
+    )
+
+
 @causes.register("deadline")
 def _deadline_passed(ended: lines.Line, events: list[lines.Line]) -> str:
     at = ended.text("nodes") or "no node"
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -143,5 +143,10 @@
     )
     if message.configuration:
         configuration.offer(runtime, message.configuration, entry.node_id)
-    if sent_at is not None and message.configuration_version == runtime.version:
+    if (
+        sent_at is not None
+        and message.configuration_version == runtime.version
+        # A node of an earlier version knows no evacuations, and proves none.
+        and message.evacuations_revision
+    ):
         runtime.freshness.confirm(sent_at - message.confirmed_age_s)
--- a/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/__main__.py
@@ -34,12 +34,23 @@
 _FAULT = flags.DEFINE_enum(
     "fault",
     "none",
-    ["none", "store-silent", "store-slow", "endpoint-slow", "node-kill"],
+    [
+        "none",
+        "store-silent",
+        "store-slow",
+        "endpoint-slow",
+        "endpoint-cold",
+        "node-kill",
+        "zone-evacuated",
+    ],
     "Fault that is active in the middle third of the load.",
 )
 _ORGANISATION_RATE = flags.DEFINE_float(
     "organisation_rate_per_s", 0.0, "Rate of the organisation; 0 for no limit."
 )
+_COLD_RATE = flags.DEFINE_float(
+    "cold_rate_per_s", 0.0, "Rate that a cold endpoint bears; 0 for no bound."
+)
 _SETTINGS = flags.DEFINE_string(
     "settings", "deploy/node.ini", "The nodes' INI file."
 )
@@ -58,6 +69,10 @@
 _SETTLE_S = 2.0
 _BODY_LIMIT = 1024 * 1024
 _SLOW_FACTOR = 8.0
+_COLD_START_S = 3.0
+_ZONES = ("zone-0", "zone-1")
+_SERVICES = ("front", "back")
+_BOUNDS = ("EvacMs=5000", "ColdOver=1.5", "ColdSlack=8")
 
 
 class _Results:
@@ -133,16 +148,29 @@
         endpoints[0].behaviour.slow = _SLOW_FACTOR
     elif _FAULT.value == "node-kill":
         await nodes[-1].kill()
+    elif _FAULT.value == "endpoint-cold":
+        endpoints[0].become_cold(_SECONDS.value / 3)
+    elif _FAULT.value == "zone-evacuated":
+        store.put(f"op/evacuate/{_ZONES[0]}", b"{}")
     await trio.sleep(_SECONDS.value / 3)
     store.mode = store_standin.Mode.NORMAL
     endpoints[0].behaviour.slow = 1.0
+    if _FAULT.value == "zone-evacuated":
+        # As on the platform, the endpoints of the zone come back cold.
+        for server in endpoints:
+            if server.settings.zone == _ZONES[0]:
+                server.become_cold(_COLD_START_S)
+        store.remove(f"op/evacuate/{_ZONES[0]}")
 
 
 async def _main_async() -> None:
-    services = ("front", "back")
     fleet = [
         machines.make_machine(
-            f"machine-{number}", f"zone-{number // 2 % 2}", services[number % 2]
+            f"machine-{number}",
+            _ZONES[number // 2 % 2],
+            _SERVICES[number % 2],
+            _ZONES,
+            _BOUNDS,
         )
         for number in range(_MACHINES.value)
     ]
@@ -161,6 +189,10 @@
                     burst=_ORGANISATION_RATE.value,
                 ),
             ),
+            tuple(
+                documents.ServiceRow(name, _COLD_START_S, _COLD_RATE.value)
+                for name in _SERVICES
+            ),
         ),
     )
     results = _Results()
@@ -200,17 +232,21 @@
                 async with trio.open_nursery() as stopping:
                     for node in nodes:
                         stopping.start_soon(node.stop)
-    _print_summary(results, store)
+    _print_summary(results, store, endpoints)
 
 
 def _print_summary(
-    results: _Results, store: store_standin.MetadataStore
+    results: _Results,
+    store: store_standin.MetadataStore,
+    endpoints: list[endpoint.Endpoint],
 ) -> None:
     for status, count in sorted(results.statuses.items()):
         print(f"ended {status}: {count}")
     for quantile in (50.0, 90.0, 99.0):
         value = results.latency_us.get_value_at_percentile(quantile)
         print(f"latency p{quantile:g}: {value / 1000:.1f} ms")
+    most = max(server.max_cold_arrivals() for server in endpoints)
+    print(f"requests of a cold endpoint in one second, at most: {most}")
     usage = resource.getrusage(resource.RUSAGE_CHILDREN)
     cpu_s = usage.ru_utime + usage.ru_stime
     total = sum(results.statuses.values())
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -118,7 +118,7 @@
     members_since: int | None = None
     removed_members: tuple[str, ...] = ()
     evacuated_zones: tuple[str, ...] = ()
-    evacuations_revision: int = pydantic.Field(default=0, ge=0)
+    evacuations_revision: _Number = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -8,10 +8,13 @@
 from common import mesh_fleet
 from common import waiting
 from sassafras_node.mesh.calls import local
+from sassafras_node.mesh.peers import link
+from sassafras_node.mesh.peers import link_session
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
 from sassafras_policy.mesh import calls
+from sassafras_policy.mesh import freshness
 from sassafras_standins.fleet import launcher
 from sassafras_standins.platform import endpoint
 from sassafras_standins.platform import store as store_standin
@@ -74,6 +77,9 @@
         for name in list(fleet.nodes) * 3:
             assert (await fleet.send_request(name)).status == 200
         assert _executions(fleet, "a1", "a2") == before
+        # No call had to be refused for that.
+        for node in fleet.nodes.values():
+            assert "withheld_calls_total{" not in node.measurements.render({})
         # The nodes of the zone go on as first nodes.
         assert all(node.is_ready for node in fleet.nodes.values())
         fleet.store.remove(_KEY)
@@ -213,6 +219,26 @@
     await _with_two_zones(tmp_path, check)
 
 
+async def test_a_peer_that_knows_no_evacuations_proves_nothing(tmp_path):
+    """Guards against a node that never reads the store beside earlier ones.
+
+    Nodes of an earlier version send no evacuations with their proof.
+    """
+
+    async def check(fleet):
+        node = fleet.nodes["a1"]
+        update = link_session.node_update(fleet.nodes["a2"], node.version)
+        earlier = update.model_copy(update={"evacuations_revision": 0})
+        now = node.clock.now_with_suspend()
+        node.freshness = freshness.Freshness(5.0)
+        link._apply_update(node, earlier, now)
+        assert not node.freshness.permits_keys(now)
+        link._apply_update(node, update, now)
+        assert node.freshness.permits_keys(now)
+
+    await _with_two_zones(tmp_path, check)
+
+
 async def test_history_that_the_store_has_lost_is_read_again(tmp_path):
     """Guards against a key whose removal no watch reports."""
 
