--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -24,6 +24,7 @@
 from sassafras_policy.mesh import change_log
 from sassafras_policy.mesh import configuration
 from sassafras_policy.mesh import downstream
+from sassafras_policy.mesh import evacuation
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
 from sassafras_policy.mesh import readers
@@ -73,6 +74,7 @@
       routing: Index of the active configuration; None before the first.
       document: Encoded form of that configuration, for other nodes.
       freshness: Age of the proof that it is the newest.
+      evacuations: Availability zones whose targets get no calls.
       fleet: The other nodes; updated by the store and by control links.
       target: The local target; updated by its announcements.
       target_tracker: Load and health of targets; updated by responses.
@@ -131,6 +133,10 @@
         self.document = b""
         self.freshness = freshness.Freshness(settings.bounds.revocation_s)
         self.fleet = fleets.Fleet(settings.host.node_id, _ENTRY_REWRITE_S)
+        self.evacuations = evacuation.EvacuationState(
+            settings.host.availability_zone,
+            is_expected=settings.bounds.evacuation_s > 0,
+        )
         self.call_deadlines = deadlines.DeadlineMonitor(
             _CALL_DEADLINE_INTERVAL_S
         )
@@ -216,6 +222,13 @@
         """Version of the active configuration; 0 for none."""
         return self.routing.source.version if self.routing else 0
 
+    def limits_cold(self, service: str) -> bool:
+        """Returns whether cold targets of a service get a low rate only."""
+        return (
+            self.routing is not None
+            and self.routing.cold_rate_per_s(service) > 0
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether callers of this host should send new work."""
@@ -251,6 +264,9 @@
         )
         class_count = _class_count(decoded)
         self.target.set_class_count(class_count)
+        self.target.cold_start.configure(
+            self.routing.cold_rate_per_s(self.settings.host.target_service)
+        )
         self.processor.resize(class_count)
         self.downstream_levels.keep_routes(
             frozenset(r.name for r in decoded.routes)
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -94,6 +94,8 @@
       retry_after_ms: Retry-After delay of a refusal; 0 for none.
       levels: Admission level of each service that the call passed through.
       load: Load of the target that responded; 1.0 when its limit is reached.
+      cold_s: For how long other targets should be preferred to that one, as it
+        is cold or its availability zone is evacuated; 0 if they should not.
       leaving: Whether that target takes no more work.
       retryable: Whether another target of the service may be tried.
       sub_call_failed: Whether a sub-call of the target failed, so that an
@@ -108,29 +110,31 @@
     retry_after_ms: int = 0
     levels: tuple[tuple[str, int], ...] = ()
     load: float = 0.0
+    cold_s: float = 0.0
     leaving: bool = False
     retryable: bool = False
     sub_call_failed: bool = False
 
     def at_target(
-        self, load: float, levels: tuple[tuple[str, int], ...]
+        self, load: float, levels: tuple[tuple[str, int], ...], cold_s: float
     ) -> "CallResponse":
         """Returns the response with the state of the target.
 
         `dataclasses.replace` takes three times as long.
         """
         return CallResponse(
-            self.outcome,
-            self.reason,
-            self.status,
-            self.headers,
-            self.body,
-            self.retry_after_ms,
-            levels,
-            load,
-            self.leaving,
-            self.retryable,
-            self.sub_call_failed,
+            outcome=self.outcome,
+            reason=self.reason,
+            status=self.status,
+            headers=self.headers,
+            body=self.body,
+            retry_after_ms=self.retry_after_ms,
+            levels=levels,
+            load=load,
+            cold_s=cold_s,
+            leaving=self.leaving,
+            retryable=self.retryable,
+            sub_call_failed=self.sub_call_failed,
         )
 
 
