--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -227,7 +227,7 @@
     Balancers prefer targets of the zone with room, so the others need not be
     looked at, and the cost does not grow with the service.
     """
-    zone = runtime.entry.availability_zone
+    zone = runtime.settings.host.availability_zone
     near = _untried(runtime.fleet.serving(service, zone), tried)
     choice = runtime.balancer.choose(
         balancers.prefer_warm(
@@ -258,7 +258,7 @@
 def _candidates(
     runtime: runtimes.Runtime, entries: list[targets.NodeEntry]
 ) -> list[balancers.Candidate]:
-    zone = runtime.entry.availability_zone
+    zone = runtime.settings.host.availability_zone
     is_cold_limited = bool(entries) and runtime.limits_cold(entries[0].service)
     return [
         runtime.target_tracker.make_candidate(
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -1,6 +1,7 @@
 """Serves a call at the local target."""
 
 import dataclasses
+import functools
 
 import trio
 
@@ -101,7 +102,7 @@
                 call, target_id, call.context.deadline - started
             ),
             progress,
-            lambda response: front_end.match_response(call, response),
+            functools.partial(front_end.match_response, call),
             call.context.deadline,
         )
         target_response = front_end.read_target_response(response)
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -13,7 +13,6 @@
 from sassafras_wire.mesh import call_connection
 from sassafras_wire.mesh import call_messages
 from sassafras_wire.mesh import frames
-from sassafras_wire.peer import codec
 
 
 @events.declare(830, "INFO")
@@ -83,10 +82,13 @@
     memory = runtime.response_budget.open()
     runtime.drain.enter()
     try:
-        message = await _receive_call(connection, length)
+        content = await connection.receive_content(length)
+        if content is None:
+            return False
+        message = call_messages.decode_call(content, connection.peer)
         runtime.idle_deadlines.clear(stream)
         # A full node reads a call long after it has arrived.
-        if message is None or stream.is_disconnected():
+        if stream.is_disconnected():
             return False
         watch.start()
         response = await _handle(runtime, message, connection.peer, memory)
@@ -98,28 +100,13 @@
         runtime.drain.leave()
 
 
-async def _receive_call(
-    connection: frames.FrameStream, length: int
-) -> call_messages.CallMessage | None:
-    """Returns a call, or None at the end of the connection."""
-    content = await connection.receive_content(length)
-    if content is None:
-        return None
-    message = codec.decode(content, connection.peer)
-    if not isinstance(message, call_messages.CallMessage):
-        raise errors.ProtocolError(
-            "peer.call", connection.peer, f"{message.type!r} is not a call"
-        )
-    return message
-
-
 async def _send_response(
     runtime: runtimes.Runtime,
     connection: frames.FrameStream,
     response: messages.CallResponse,
 ) -> bool:
     """Sends a response; returns whether another call may follow."""
-    is_last = runtime.drain.is_draining
+    is_last = runtime.drain.requested.is_set()
     is_outdated = response.reason is outcomes.Reason.LEAVING
     await connection.send(
         call_messages.encode_answer(
@@ -140,7 +127,7 @@
 
 async def _handle(
     runtime: runtimes.Runtime,
-    message: call_messages.CallMessage,
+    message: call_messages.Call,
     peer: str,
     memory: memories.Reservation,
 ) -> messages.CallResponse:
--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -259,20 +259,19 @@
         self, request: messages.Request
     ) -> Response | None:
         """Reads one response; returns None if it is not plain."""
-        if not plain.has_ordinary_response(request.method):
-            return None
         if not self._received:
             self._received = await self._read()
-        head = plain.decode_response(self._received)
+        head = plain.decode_response(self._received, request.method)
         if head is None:
             return None
-        framing = head.framing
-        body = self._received[framing.body_start : framing.body_end]
+        body = self._received[head.body_start : head.body_end]
         if body:
-            self._reserve(len(body))
-            self._check_length(len(body))
-        rest = self._received[framing.body_end :]
-        missing = framing.body_end - len(self._received)
+            if self._memory is not None and not self._memory.grow(len(body)):
+                raise self._out_of_memory()
+            if len(body) > self._body_limit:
+                raise self._excess(f"is over {self._body_limit} bytes")
+        rest = self._received[head.body_end :]
+        missing = head.body_end - len(self._received)
         if missing > 0:
             parts = [body]
             while missing > 0:
@@ -283,12 +282,10 @@
                 missing -= len(part)
                 self._reserve(len(part))
                 parts.append(part)
-                self._check_length(
-                    framing.body_end - framing.body_start - missing
-                )
+                self._check_length(head.body_end - head.body_start - missing)
             body = b"".join(parts)
         self._received = rest
-        self._is_last = framing.is_last
+        self._is_last = head.is_last
         return Response(head.status, head.headers, body)
 
     async def _receive_parsed(self, request: messages.Request) -> Response:
@@ -318,12 +315,15 @@
 
     def _reserve(self, size: int) -> None:
         if self._memory is not None and not self._memory.grow(size):
-            raise errors.MemoryLimitError(
-                self.step,
-                self.peer,
-                "no memory for the rest of the response, after"
-                f" {self._memory.held_bytes} bytes",
-            )
+            raise self._out_of_memory()
+
+    def _out_of_memory(self) -> errors.MemoryLimitError:
+        held_bytes = self._memory.held_bytes if self._memory else 0
+        return errors.MemoryLimitError(
+            self.step,
+            self.peer,
+            f"no memory for the rest of the response, after {held_bytes} bytes",
+        )
 
     def _excess(self, problem: str) -> errors.ProtocolError:
         return errors.ProtocolError(
