Order revisions of the store by its era, and write again what an older copy lacks

In a drill the store may come back from a copy some seconds old. Its revisions and lease numbers are given out again, so comparing them across the return took old entries for new ones, and any read confirmed the active configuration as the newest. The adapter reads the era of each response. Positions order revisions by era; a watch across eras ends like a lost history. A node checks its entry and lease in the new era and writes them again unless the copy has both. A response of a new era proves the configuration only if the active version was written in that era or its operator had 2 s to write it again. Links carry the era.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -49,6 +49,14 @@
                 "Age of the proof that it is the newest.",
                 age_s,
             ),
+            "configuration_unproved": (
+                "1 while the store, back from a copy, may lack the newest.",
+                int(runtime.is_unproved),
+            ),
+            "store_era": (
+                "How often the store has come back from a copy.",
+                runtime.store_era.era,
+            ),
             "peers": ("Other nodes known.", len(runtime.fleet)),
             "in_flight": ("Requests being served.", runtime.drain.in_flight),
             "request_bytes": (
--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -9,6 +9,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import configuration
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import targets
 from sassafras_wire.http import client
 
@@ -21,23 +22,56 @@
       key: Its name.
       value: Its bytes; None for a key that was removed.
       revision: Revision of the store at its last change.
+      lease: Lease that the key is bound to; 0 for none.
     """
 
     key: str
     value: bytes | None
     revision: int
+    lease: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """Keys of the store, and the store's revision when they were read."""
+    """Keys of the store, and the store's position when they were read."""
 
     items: tuple[Item, ...]
+    position: eras.Position
+
+    def position_of(self, item: Item) -> eras.Position:
+        """Returns the position of the last change of an item."""
+        return eras.Position(self.position.era, item.revision)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteResult:
+    """The response to a compare-and-swap.
+
+    Attributes:
+      revision: The new revision, -1 if the key is at another revision, or 0 if
+        the lease has ended.
+      era: Era of the store.
+    """
+
     revision: int
+    era: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease. Its number may be given out again in a later era.
+
+    Attributes:
+      number: Id of the lease; 0 if it has ended.
+      era: Era of the store.
+    """
+
+    number: int
+    era: int
 
 
 class HistoryLostError(Exception):
-    """The store no longer has the changes since a revision."""
+    """The store no longer has the changes since a position."""
 
 
 class Store(Protocol):
@@ -48,38 +82,36 @@
     """
 
     async def get(self, key: str) -> Listing:
-        """Returns the key, or no item, with the store's revision."""
+        """Returns the key, or no item, with the store's position."""
         ...
 
     async def get_prefix(self, prefix: str) -> Listing:
         """Returns all keys that begin with a prefix."""
         ...
 
-    async def changes(self, prefix: str, after: int, wait_s: float) -> Listing:
-        """Returns changes after a revision, waiting for the first one.
+    async def changes(
+        self, prefix: str, after: eras.Position, wait_s: float
+    ) -> Listing:
+        """Returns changes after a position, waiting for the first one.
 
         Raises:
-          HistoryLostError: The store no longer has these changes.
+          HistoryLostError: The store no longer has these changes, or is in
+            another era.
         """
         ...
 
     async def compare_and_swap(
         self, key: str, value: bytes, revision: int, lease: int
-    ) -> int:
-        """Writes a key if it is at a revision; 0 means it must not exist.
-
-        Returns:
-          The new revision, -1 if the key is at another revision, or 0 if the
-          lease has ended.
-        """
+    ) -> WriteResult:
+        """Writes a key if it is at a revision; 0 means it must not exist."""
         ...
 
-    async def grant_lease(self, ttl_s: float) -> int:
-        """Returns the id of a new lease."""
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Returns a new lease."""
         ...
 
-    async def renew_lease(self, lease: int) -> bool:
-        """Renews a lease; returns False when it has expired."""
+    async def renew_lease(self, lease: int) -> Lease:
+        """Renews a lease, and returns whether it has ended."""
         ...
 
     async def revoke_lease(self, lease: int) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -6,6 +6,7 @@
 from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import configuration
+from sassafras_node.mesh.store import eras
 from sassafras_node.mesh.store import evacuations
 from sassafras_node.mesh.store import members
 from sassafras_policy.mesh import targets
@@ -94,6 +95,8 @@
                 members_revision=(
                     runtime.members_revision if is_candidate else None
                 ),
+                members_era=runtime.members_position.era,
+                store_era=runtime.store_era.era,
             )
         )
         message = await link.expect(link_messages.StateUpdate)
@@ -119,6 +122,7 @@
     entry = link_messages.to_entry(message.entry)
     runtime.fleet.update(entry)
     runtime.record_node_demand(entry.node_id, message.demand)
+    eras.note_peer(runtime, message.store_era, entry.node_id)
     if message.reaches_store:
         runtime.unusable_readers.discard(entry.node_id)
     else:
@@ -131,6 +135,7 @@
                 message.members,
                 message.members_since,
                 message.removed_members,
+                message.members_era,
             ),
             entry.node_id,
         )
@@ -139,6 +144,7 @@
         runtime,
         message.evacuated_zones,
         message.evacuations_revision,
+        message.evacuations_era,
         entry.node_id,
     )
     if message.configuration:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -9,6 +9,8 @@
 from sassafras_base import events
 from sassafras_base import registry
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import eras as store_eras
+from sassafras_policy.mesh import eras
 from sassafras_wire.http import sockets
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import converters
@@ -34,13 +36,13 @@
 
     Attributes:
       version: Version of its configuration.
-      members_revision: Revision of the store of its entries; None if it does
+      members_position: Position of the store of its entries; None if it does
         not ask for them.
       is_relayed: Whether changes of either are sent to it.
     """
 
     version: int = 0
-    members_revision: int | None = None
+    members_position: eras.Position | None = None
     is_relayed: bool = False
 
 
@@ -66,9 +68,10 @@
                     subscribed = True
                     nursery.start_soon(_send_updates, runtime, link)
                 if isinstance(message, link_messages.Ping):
+                    store_eras.note_peer(runtime, message.store_era, peer)
                     subscriber.version = message.configuration_version
-                    subscriber.members_revision = message.members_revision
-                    if message.members_revision is not None and (
+                    subscriber.members_position = _members_position(message)
+                    if subscriber.members_position is not None and (
                         not subscriber.is_relayed
                     ):
                         subscriber.is_relayed = True
@@ -105,10 +108,16 @@
         runtime,
         message.configuration_version,
         message.number,
-        message.members_revision,
+        _members_position(message),
     )
 
 
+def _members_position(message: link_messages.Ping) -> eras.Position | None:
+    if message.members_revision is None:
+        return None
+    return eras.Position(message.members_era, message.members_revision)
+
+
 @message_handlers.register("token_ask")
 def _answer_token_ask(
     runtime: runtimes.Runtime, message: models.Message
@@ -136,15 +145,15 @@
     """Sends the configuration and the entries that this node has read."""
     while True:
         await runtime.relay_changed.wait()
-        if subscriber.members_revision is None:
+        if subscriber.members_position is None:
             continue
         update = node_update(
             runtime,
             subscriber.version,
-            members_revision=subscriber.members_revision,
+            members_position=subscriber.members_position,
         )
         subscriber.version = runtime.version
-        subscriber.members_revision = runtime.members_revision
+        subscriber.members_position = runtime.members_position
         try:
             await link.send(update)
         except errors.ConnectionLostError:
@@ -156,7 +165,7 @@
     runtime: runtimes.Runtime,
     known_version: int,
     number: int = 0,
-    members_revision: int | None = None,
+    members_position: eras.Position | None = None,
 ) -> link_messages.StateUpdate:
     """Returns the current state of this node for another node.
 
@@ -164,16 +173,16 @@
       runtime: The node.
       known_version: Configuration version of the other node.
       number: Number of the ping that is answered; 0 for none.
-      members_revision: Revision of the store of the other node's entries; None
+      members_position: Position of the store of the other node's entries; None
         if it does not ask for them.
     """
     members = _NO_MEMBERS
     if (
-        members_revision is not None
+        members_position is not None
         and runtime.is_watching_members
-        and members_revision < runtime.members_revision
+        and members_position < runtime.members_position
     ):
-        members = runtime.members_after(members_revision)
+        members = runtime.members_after(members_position)
     age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
     return link_messages.StateUpdate(
         number=number,
@@ -189,6 +198,9 @@
         removed_members=members.removed,
         evacuated_zones=tuple(sorted(runtime.evacuations.zones)),
         evacuations_revision=runtime.evacuations.revision,
+        evacuations_era=runtime.evacuations.era,
+        members_era=members.era,
+        store_era=runtime.store_era.era,
         configuration=(
             runtime.document if runtime.version > known_version else b""
         ),
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -24,6 +24,7 @@
 from sassafras_policy.mesh import change_log
 from sassafras_policy.mesh import configuration
 from sassafras_policy.mesh import downstream
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import evacuation
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
@@ -40,6 +41,10 @@
 # After an outage of the store, a live node writes its entry again within this
 # time. The deployments count nodes as gone after 2 s.
 _ENTRY_REWRITE_S = 2.5
+# A node that has lost the store stops serving requests with keys after some
+# time. Its entry lasts longer than that, so that its share of the rates is not
+# given to others while it still uses it.
+_LEASE_MARGIN_S = 1.0
 
 # Part of the process's memory limit for the interpreter, its libraries, the
 # state of the node and its connections.
@@ -88,8 +93,13 @@
       processor: Admission level of this node's own processor.
       running_calls: Calls that the local target is running, by id.
       drain: Work in flight and planned stop.
+      store_era: The newest era of the store that this node knows of.
+      is_unproved: Whether the last read of the configuration did not prove the
+        active one the newest.
+      era_changed: Set and replaced when the store has come back from a copy.
       lease: Lease of this node's entry; 0 for none.
-      entry_revision: Revision of the store at which it was written last.
+      lease_era: Era of the store in which the lease is known to be this node's.
+      entry_position: Position of the store at which the entry was written last.
       stored_entry_number: Number of this node's entry in the store; 0 while the
         store has none.
       entry_stored: Set and replaced when the entry has been written.
@@ -97,7 +107,7 @@
       unusable_readers: Nodes that cannot be reached or do not reach the store.
       reaches_store: Whether the last call to the store was answered.
       is_watching_members: Whether this node has the newest entries itself.
-      members_revision: Revision of the store at which it has all entries.
+      members_position: Position of the store at which it has all entries.
       member_changes: Which of them have changed lately.
       is_fleet_loaded: Whether the entries of all nodes have been read once.
         Until then, the node would take itself for the only one and use the
@@ -132,7 +142,9 @@
         self.routing: routing.RoutingTable | None = None
         self.document = b""
         self.freshness = freshness.Freshness(settings.bounds.revocation_s)
-        self.fleet = fleets.Fleet(settings.host.node_id, _ENTRY_REWRITE_S)
+        self.fleet = fleets.Fleet(
+            settings.host.node_id, _ENTRY_REWRITE_S, self.lease_s
+        )
         self.evacuations = evacuation.EvacuationState(
             settings.host.availability_zone,
             is_expected=settings.bounds.evacuation_s > 0,
@@ -163,8 +175,12 @@
         self.drain = drains.make_drain()
         self.is_leaving = False
         self.is_fleet_loaded = False
+        self.store_era = eras.StoreEra()
+        self.is_unproved = False
+        self.era_changed = trio.Event()
         self.lease = 0
-        self.entry_revision = 0
+        self.lease_era = 0
+        self.entry_position = eras.Position()
         self.stored_entry_number = 0
         self.entry_stored = trio.Event()
         self.readers = readers.ZoneReaders(
@@ -173,10 +189,10 @@
         self.unusable_readers: set[str] = set()
         self.reaches_store = True
         self.is_watching_members = False
-        self.members_revision = 0
+        self.members_position = eras.Position()
         self.member_changes = change_log.ChangeLog()
         self._members_update = link_messages.MembersUpdate(0, b"")
-        self._members_update_key = (-1, -1)
+        self._members_update_key = (eras.Position(-1), eras.Position(-1))
         self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
         self.relay_changed = trio.Event()
@@ -217,6 +233,31 @@
             number=self._entry_number,
         )
 
+    @property
+    def lease_s(self) -> float:
+        """Time that the lease of this node's entry lasts without renewal."""
+        return max(
+            self.settings.store.min_lease_s,
+            self.settings.bounds.revocation_s + _LEASE_MARGIN_S,
+        )
+
+    @property
+    def entry_revision(self) -> int:
+        """Revision of the store at which the entry was written last."""
+        return self.entry_position.revision
+
+    @property
+    def members_revision(self) -> int:
+        """Revision of the store at which this node has all entries."""
+        return self.members_position.revision
+
+    @property
+    def may_read_removed(self) -> bool:
+        """Whether the store may hold entries of nodes that have ended."""
+        return self.store_era.may_hold_removed(
+            self.clock.now_with_suspend(), self.lease_s
+        )
+
     @property
     def version(self) -> int:
         """Version of the active configuration; 0 for none."""
@@ -369,36 +410,40 @@
             own.availability_zone, own.node_id, usable
         )
 
-    def members_after(self, revision: int) -> link_messages.MembersUpdate:
+    def members_after(
+        self, position: eras.Position
+    ) -> link_messages.MembersUpdate:
         """Returns what a node of the same zone lacks of the entries.
 
         Args:
-          revision: Revision of the store of the other node's entries.
+          position: Position of the store of the other node's entries.
         """
-        key = (revision, self.members_revision)
+        key = (position, self.members_position)
         if key != self._members_update_key:
-            self._members_update = self._make_members_update(revision)
+            self._members_update = self._make_members_update(position)
             self._members_update_key = key
         return self._members_update
 
     def _make_members_update(
-        self, revision: int
+        self, position: eras.Position
     ) -> link_messages.MembersUpdate:
         entries = {e.node_id: e for e in self.fleet.listed_entries}
         entries[self.entry.node_id] = self.entry
-        changed = self.member_changes.since(revision)
+        changed = self.member_changes.since(position)
         if changed is None:
             return link_messages.MembersUpdate(
                 self.members_revision,
                 link_messages.encode_members(list(entries.values())),
+                era=self.members_position.era,
             )
         return link_messages.MembersUpdate(
             self.members_revision,
             link_messages.encode_members(
                 [entries[name] for name in sorted(changed & entries.keys())]
             ),
-            since=revision,
+            since=position.revision,
             removed=tuple(sorted(changed - entries.keys())),
+            era=self.members_position.era,
         )
 
     def ping_interval_s(self, node_id: str) -> float:
@@ -455,15 +500,34 @@
         changed, self.entry_changed = self.entry_changed, trio.Event()
         changed.set()
 
-    def record_stored_entry(self, number: int, revision: int) -> None:
+    def record_era(self, era: int, revision: int | None) -> bool:
+        """Records the era of the store in a response or message.
+
+        Args:
+          era: The era.
+          revision: Revision of the store in the response; None if unknown.
+
+        Returns:
+          Whether the store has come back from an older copy. Until it was read
+          again, this node's entry and lease are taken for lost.
+        """
+        now = self.clock.now_with_suspend()
+        if not self.store_era.record(era, revision, now):
+            return False
+        self.stored_entry_number = 0
+        changed, self.era_changed = self.era_changed, trio.Event()
+        changed.set()
+        return True
+
+    def record_stored_entry(self, number: int, position: eras.Position) -> None:
         """Records which entry of this node the store has.
 
         Args:
           number: Number of the entry.
-          revision: Revision of the store at which it was written.
+          position: Position of the store at which it was written.
         """
         self.stored_entry_number = number
-        self.entry_revision = revision
+        self.entry_position = position
         self.own_entry_removed = trio.Event()
         stored, self.entry_stored = self.entry_stored, trio.Event()
         stored.set()
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
@@ -6,8 +6,10 @@
 from sassafras_base import events
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.store import eras as store_eras
 from sassafras_node.mesh.store import evacuations
 from sassafras_node.mesh.store import outages
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import readers
 from sassafras_wire.store import client as store_client
 
@@ -31,6 +33,16 @@
     return f"configuration from {source} refused: {error}"
 
 
+@events.declare(857, "INFO")
+def configuration_unproved(stored: int, active: int, era: int) -> str:
+    """The store came back from a copy that may lack the newest configuration.
+
+    The active one stays. Requests with a key are refused once its last proof
+    is too old, unless the operator has written the newest one again before.
+    """
+    return f"version {stored} in era {era} does not prove {active} the newest"
+
+
 async def run(runtime: runtimes.Runtime) -> None:
     """Follows the configuration and the evacuations until cancelled.
 
@@ -42,11 +54,13 @@
     while True:
         try:
             await _wait_until_due(runtime)
-            revision = await _read(runtime)
+            stored = await _read(runtime)
             runtime.reaches_store = True
             outage_log.record_success()
             while runtime.readers.is_reader:
-                revision = await _await_change(runtime, revision)
+                stored = await _await_change(runtime, stored)
+            if runtime.is_unproved:
+                await trio.sleep(_unproved_pause_s(runtime))
         except interfaces.HistoryLostError:
             # The whole value is read instead of the changes.
             continue
@@ -69,46 +83,88 @@
         await trio.sleep(min(limit_s - age_s, _ROLE_CHECK_S))
 
 
-async def _read(runtime: runtimes.Runtime) -> int:
+def _unproved_pause_s(runtime: runtimes.Runtime) -> float:
+    """Returns the pause of a node that read and proved nothing.
+
+    The reader of the zone reads all the while.
+    """
+    is_candidate = runtime.settings.host.node_id in runtime.readers.candidates
+    return _RETRY_S if is_candidate else eras.REWRITE_S
+
+
+async def _read(runtime: runtimes.Runtime) -> eras.StoredConfiguration:
     requested_at = runtime.clock.now_with_suspend()
     listing = await runtime.platform.store.get_prefix(
         runtime.platform.codecs.operator_prefix
     )
+    store_eras.note_position(runtime, listing.position, "configuration")
     evacuations.apply_listing(runtime, listing)
-    _offer_changes(runtime, listing)
-    runtime.freshness.confirm(requested_at)
-    return listing.revision
+    nothing = eras.StoredConfiguration(listing.position, eras.Position(), 0)
+    return _apply(runtime, nothing, listing, requested_at)
 
 
-async def _await_change(runtime: runtimes.Runtime, revision: int) -> int:
+async def _await_change(
+    runtime: runtimes.Runtime, stored: eras.StoredConfiguration
+) -> eras.StoredConfiguration:
+    if evacuations.is_reread_due(runtime):
+        return await _read(runtime)
     wait_s = readers.wait_s(runtime.max_proof_age_s)
     requested_at = runtime.clock.now_with_suspend()
     listing = await runtime.platform.store.changes(
-        runtime.platform.codecs.operator_prefix, revision, wait_s
+        runtime.platform.codecs.operator_prefix, stored.read_at, wait_s
     )
     runtime.reaches_store = True
+    store_eras.note_position(runtime, listing.position, "configuration")
     evacuations.apply_changes(runtime, listing)
-    _offer_changes(runtime, listing)
-    runtime.freshness.confirm(requested_at)
-    return listing.revision
+    return _apply(runtime, stored, listing, requested_at)
+
+
+def _apply(
+    runtime: runtimes.Runtime,
+    stored: eras.StoredConfiguration,
+    listing: interfaces.Listing,
+    requested_at: float,
+) -> eras.StoredConfiguration:
+    """Applies the configuration; returns what the store has now."""
+    stored = _offer_changes(runtime, stored, listing)
+    if stored.proves_newest(runtime.version, runtime.store_era, requested_at):
+        runtime.freshness.confirm(requested_at)
+        runtime.is_unproved = False
+        return stored
+    if not runtime.is_unproved:
+        configuration_unproved(
+            stored.version, runtime.version, runtime.store_era.era
+        )
+    runtime.is_unproved = True
+    return stored
 
 
 def _offer_changes(
-    runtime: runtimes.Runtime, listing: interfaces.Listing
-) -> None:
+    runtime: runtimes.Runtime,
+    stored: eras.StoredConfiguration,
+    listing: interfaces.Listing,
+) -> eras.StoredConfiguration:
     key = runtime.platform.codecs.configuration_key
+    version, written_at = stored.version, stored.written_at
     for item in listing.items:
         if item.key == key and item.value is not None:
-            offer(runtime, item.value, "store")
+            version = offer(runtime, item.value, "store")
+            written_at = listing.position_of(item)
             runtime.publish_relay()
+    return eras.StoredConfiguration(listing.position, written_at, version)
 
 
-def offer(runtime: runtimes.Runtime, document: bytes, source: str) -> None:
-    """Activates a document if it is valid and newer."""
+def offer(runtime: runtimes.Runtime, document: bytes, source: str) -> int:
+    """Activates a document if it is valid and newer.
+
+    Returns:
+      Its version; that of the active one if it is not valid.
+    """
     try:
         decoded = runtime.platform.codecs.read_configuration(document)
     except errors.InvalidInputError as error:
         configuration_refused(source, str(error))
-        return
+        return runtime.version
     if runtime.apply(document, decoded):
         configuration_applied(decoded.version, source, len(decoded.routes))
+    return decoded.version
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/evacuations.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/evacuations.py
@@ -8,6 +8,7 @@
 from sassafras_base import events
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import evacuation
 
 _STORE = "store"
@@ -63,15 +64,35 @@
 ) -> None:
     """Applies all keys of the operator, as read from the store."""
     changes = _read_changes(runtime, listing)
+    era = listing.position.era
+    written = frozenset(
+        change.zone
+        for change in changes
+        if runtime.store_era.is_written_since(
+            eras.Position(era, change.revision)
+        )
+    )
     _finish(
         runtime,
         runtime.evacuations.replace(
-            (change.zone for change in changes), listing.revision
+            (change.zone for change in changes),
+            listing.position.revision,
+            era,
+            None if _is_complete(runtime) else written,
         ),
         _STORE,
     )
 
 
+def is_reread_due(runtime: runtimes.Runtime) -> bool:
+    """Returns whether the operator has had time to write again what is lost."""
+    return runtime.evacuations.is_provisional and _is_complete(runtime)
+
+
+def _is_complete(runtime: runtimes.Runtime) -> bool:
+    return runtime.store_era.is_complete(runtime.clock.now_with_suspend())
+
+
 def apply_changes(
     runtime: runtimes.Runtime, listing: interfaces.Listing
 ) -> None:
@@ -79,7 +100,9 @@
     changes = _read_changes(runtime, listing)
     _finish(
         runtime,
-        runtime.evacuations.apply_changes(changes, listing.revision),
+        runtime.evacuations.apply_changes(
+            changes, listing.position.revision, listing.position.era
+        ),
         _STORE,
     )
 
@@ -88,6 +111,7 @@
     runtime: runtimes.Runtime,
     zones: tuple[str, ...],
     revision: int,
+    era: int,
     source: str,
 ) -> None:
     """Applies what another node knows.
@@ -97,10 +121,16 @@
       zones: The evacuated zones.
       revision: Revision of the store as of which they are complete; 0 if the
         other node does not know.
-      source: The other node.
+      era: Era of the store of that revision.
+      source: The other node, which may have learned all from an older copy.
     """
     if revision:
-        _finish(runtime, runtime.evacuations.replace(zones, revision), source)
+        written = None if _is_complete(runtime) else frozenset(zones)
+        _finish(
+            runtime,
+            runtime.evacuations.replace(zones, revision, era, written),
+            source,
+        )
 
 
 def _read_changes(
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -6,7 +6,9 @@
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import entries
+from sassafras_node.mesh.store import eras as store_eras
 from sassafras_node.mesh.store import outages
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.store import client as store_client
@@ -54,16 +56,16 @@
     outage_log = outages.OutageLog("members")
     while True:
         try:
-            revision = await _read_all(runtime)
+            position = await _read_all(runtime)
             outage_log.record_success()
             await trio.sleep(_SETTLE_S)
             while True:
                 if runtime.readers.is_reader:
-                    revision = await _await_changes(runtime, revision)
+                    position = await _await_changes(runtime, position)
                 else:
                     runtime.is_watching_members = False
                     await trio.sleep(_ROLE_CHECK_S)
-                    revision = max(revision, runtime.members_revision)
+                    position = max(position, runtime.members_position)
         except interfaces.HistoryLostError:
             # All entries are read instead of the changes.
             continue
@@ -73,20 +75,23 @@
             await trio.sleep(_RETRY_S)
 
 
-async def _await_changes(runtime: runtimes.Runtime, revision: int) -> int:
-    """Applies the changes since a revision; returns the next one."""
+async def _await_changes(
+    runtime: runtimes.Runtime, position: eras.Position
+) -> eras.Position:
+    """Applies the changes since a position; returns the next one."""
     runtime.is_watching_members = True
     listing = await runtime.platform.store.changes(
-        entries.PREFIX, revision, _WAIT_S
+        entries.PREFIX, position, _WAIT_S
     )
+    store_eras.note_position(runtime, listing.position, "members")
     for item in listing.items:
-        _apply(runtime, item)
+        _apply(runtime, item, listing.position_of(item))
     if listing.items:
         # Other keys of the store change its revision as well.
-        runtime.members_revision = listing.revision
+        runtime.members_position = listing.position
         runtime.publish_relay()
     await trio.sleep(_BATCH_DELAY_S)
-    return listing.revision
+    return listing.position
 
 
 def apply_relayed(
@@ -101,9 +106,13 @@
       update: The entries.
       source: The reader.
     """
-    if update.revision <= runtime.members_revision:
+    position = update.position
+    if position <= runtime.members_position:
         return
-    if update.since is not None and update.since > runtime.members_revision:
+    if (
+        update.since is not None
+        and eras.Position(update.era, update.since) > runtime.members_position
+    ):
         # Changes in between are missing; the next ping asks for them.
         return
     relayed = link_messages.decode_members(update.members)
@@ -111,60 +120,67 @@
         members_unreadable(source)
         return
     for entry in relayed:
-        _restore_own_entry(runtime, entry, update.revision)
-        runtime.fleet.update(entry)
-    runtime.members_revision = update.revision
+        _restore_own_entry(runtime, entry, position)
+        runtime.fleet.update(entry, is_copy=runtime.may_read_removed)
+    runtime.members_position = position
     known = {entry.node_id for entry in relayed}
     if update.since is None:
-        _keep_only(runtime, known, update.revision)
-        runtime.member_changes.restart(update.revision)
+        _keep_only(runtime, known, position)
+        runtime.member_changes.restart(position)
         return
     for node_id in known.union(update.removed):
-        runtime.member_changes.record(node_id, update.revision)
+        runtime.member_changes.record(node_id, position)
     for node_id in update.removed:
-        _lapse(runtime, node_id, update.revision)
+        _lapse(runtime, node_id, position)
 
 
-def _lapse(runtime: runtimes.Runtime, node_id: str, revision: int) -> None:
-    """Records that a node has no entry at a revision of the store."""
+def _lapse(
+    runtime: runtimes.Runtime, node_id: str, position: eras.Position
+) -> None:
+    """Records that a node has no entry at a position of the store."""
     node_entry_lapsed(node_id)
     if (
         node_id == runtime.settings.host.node_id
         and not runtime.is_leaving
-        and revision >= runtime.entry_revision
+        and position >= runtime.entry_position
     ):
         runtime.own_entry_removed.set()
     runtime.fleet.lapse(node_id, runtime.clock.now_with_suspend())
 
 
 def _keep_only(
-    runtime: runtimes.Runtime, known: set[str], revision: int
+    runtime: runtimes.Runtime, known: set[str], position: eras.Position
 ) -> None:
-    """Lapses the nodes without an entry at a revision of the store."""
-    runtime.fleet.keep_only(known, runtime.clock.now_with_suspend())
+    """Lapses the nodes without an entry at a position of the store."""
+    runtime.fleet.keep_only(
+        known,
+        runtime.clock.now_with_suspend(),
+        is_copy=runtime.may_read_removed,
+    )
     if (
         runtime.settings.host.node_id not in known
-        and revision >= runtime.entry_revision
+        and position >= runtime.entry_position
     ):
         runtime.own_entry_removed.set()
 
 
-async def _read_all(runtime: runtimes.Runtime) -> int:
+async def _read_all(runtime: runtimes.Runtime) -> eras.Position:
     listing = await runtime.platform.store.get_prefix(entries.PREFIX)
+    store_eras.note_position(runtime, listing.position, "members")
     for item in listing.items:
-        _apply(runtime, item)
-    runtime.members_revision = listing.revision
+        _apply(runtime, item, listing.position_of(item))
+    runtime.members_position = listing.position
     _keep_only(
         runtime,
         {entries.node_of(item.key) for item in listing.items},
-        listing.revision,
+        listing.position,
     )
-    runtime.member_changes.restart(listing.revision)
+    runtime.member_changes.restart(listing.position)
     if not runtime.target.restored.is_set():
         _restore_target(runtime, listing)
     runtime.is_fleet_loaded = True
     runtime.configure_limiter()
-    return listing.revision
+    return listing.position
 
 
 def _restore_target(
@@ -187,18 +203,20 @@
     runtime.target.restored.set()
 
 
-def _apply(runtime: runtimes.Runtime, item: interfaces.Item) -> None:
+def _apply(
+    runtime: runtimes.Runtime, item: interfaces.Item, position: eras.Position
+) -> None:
     node_id = entries.node_of(item.key)
-    runtime.member_changes.record(node_id, item.revision)
+    runtime.member_changes.record(node_id, position)
     if item.value is None:
-        _lapse(runtime, node_id, item.revision)
+        _lapse(runtime, node_id, position)
         return
     entry = entries.decode(item.value)
     if entry is None or not _is_plausible(runtime, entry, node_id):
         entry_unreadable(item.key)
         return
-    _restore_own_entry(runtime, entry, item.revision)
-    runtime.fleet.update(entry)
+    _restore_own_entry(runtime, entry, position)
+    runtime.fleet.update(entry, is_copy=runtime.may_read_removed)
 
 
 def _is_plausible(
@@ -216,13 +234,13 @@
 
 
 def _restore_own_entry(
-    runtime: runtimes.Runtime, entry: targets.NodeEntry, revision: int
+    runtime: runtimes.Runtime, entry: targets.NodeEntry, position: eras.Position
 ) -> None:
     """Has this node's entry written again if another writer replaced it."""
     own = runtime.entry
     if (
         entry.node_id == own.node_id
         and entry.incarnation != own.incarnation
-        and 0 < runtime.entry_revision < revision
+        and eras.Position() < runtime.entry_position < position
     ):
         runtime.own_entry_removed.set()
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -1,18 +1,18 @@
 """Keeps this node's entry in the store, under a lease."""
 
+import dataclasses
+
 import trio
 
 from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import entries
+from sassafras_node.mesh.store import eras as store_eras
 from sassafras_node.mesh.store import outages
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import targets
 from sassafras_wire.store import client as store_client
 
-# A node that has lost the store stops serving requests with keys after some
-# time. Its entry lasts longer than that, so that its share of the rates is not
-# given to others while it still uses it.
-_LEASE_MARGIN_S = 1.0
 _RENEWALS_PER_LEASE = 3.0
 _RETRY_S = 0.5
 # The target announces itself shortly after the node has started; waiting for
@@ -33,6 +33,14 @@
     return "the lease of this node's entry has ended"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Written:
+    """The entry that the store has, as far as this node knows."""
+
+    number: int
+    value: bytes
+
+
 async def run(runtime: runtimes.Runtime) -> None:
     """Keeps the entry until cancelled.
 
@@ -59,39 +67,88 @@
 
     After a write that fails, the next attempt starts with a new lease, and the
     compare-and-swap orders the writes of the two.
+
+    A lease and a revision belong to one era of the store. After the store has
+    come back from a copy, both stay in use only if the copy has the entry.
     """
-    store = runtime.platform.store
-    ttl_s = max(
-        runtime.settings.store.min_lease_s,
-        runtime.settings.bounds.revocation_s + _LEASE_MARGIN_S,
-    )
-    lease = await store.grant_lease(ttl_s)
-    runtime.lease = lease
+    ttl_s = runtime.lease_s
+    lease = await runtime.platform.store.grant_lease(ttl_s)
+    store_eras.note(runtime, lease.era, None, "entry")
+    runtime.lease, runtime.lease_era = lease.number, lease.era
+    written: _Written | None = None
     revision = 0
-    written: bytes | None = None
+    is_checked = runtime.store_era.era == 0
     while True:
         changed = runtime.entry_changed
+        if written is not None and _is_check_due(runtime, is_checked):
+            # Calls of the era before may still take effect for some seconds,
+            # so the entry is checked once more when they have ended.
+            is_checked = _is_complete(runtime)
+            position = await _find_written(runtime, written, outage_log)
+            if position is None:
+                return
+            revision = position.revision
+            runtime.lease_era = position.era
+            runtime.record_stored_entry(written.number, position)
         entry = runtime.entry
         value = entries.encode(entry)
-        if value != written:
-            revision = await _write(runtime, value, revision, lease)
+        if written is None or value != written.value:
+            revision = await _write(runtime, value, revision)
             if revision == 0:
                 return
-            written = value
-            runtime.record_stored_entry(entry.number, revision)
+            written = _Written(entry.number, value)
+            runtime.record_stored_entry(
+                entry.number, eras.Position(runtime.lease_era, revision)
+            )
             outage_log.record_success()
             entry_written(revision, _state(runtime))
         await _wait(runtime, changed, ttl_s / _RENEWALS_PER_LEASE)
         if runtime.own_entry_removed.is_set():
             return
-        if not changed.is_set() and not await _renew(
-            runtime, lease, outage_log
-        ):
+        if changed.is_set() or runtime.lease_era != runtime.store_era.era:
+            continue
+        if not await _renew(runtime, outage_log):
             return
 
 
+def _is_check_due(runtime: runtimes.Runtime, is_checked: bool) -> bool:
+    """Returns whether the store may have lost this node's entry or lease."""
+    if runtime.lease_era != runtime.store_era.era:
+        return True
+    return not is_checked and _is_complete(runtime)
+
+
+def _is_complete(runtime: runtimes.Runtime) -> bool:
+    return runtime.store_era.is_complete(runtime.clock.now_with_suspend())
+
+
+async def _find_written(
+    runtime: runtimes.Runtime, written: _Written, outage_log: outages.OutageLog
+) -> eras.Position | None:
+    """Returns where the store has this node's entry as it was written last.
+
+    Returns:
+      None if it has none, another one, or one under another lease. The number
+      of a lease may have been given to another node since the copy.
+    """
+    key = entries.key_of(runtime.settings.host.node_id)
+    while True:
+        try:
+            listing = await runtime.platform.store.get(key)
+            store_eras.note_position(runtime, listing.position, "entry")
+        except store_client.StoreUnavailableError as error:
+            outage_log.record_failure(error)
+            await trio.sleep(_RETRY_S)
+            continue
+        outage_log.record_success()
+        for item in listing.items:
+            if item.value == written.value and item.lease == runtime.lease:
+                return listing.position_of(item)
+        return None
+
+
 async def _renew(
-    runtime: runtimes.Runtime, lease: int, outage_log: outages.OutageLog
+    runtime: runtimes.Runtime, outage_log: outages.OutageLog
 ) -> bool:
     """Renews the lease, also after an outage; returns False if it has ended.
 
@@ -99,7 +156,8 @@
     """
     while True:
         try:
-            is_alive = await runtime.platform.store.renew_lease(lease)
+            lease = await runtime.platform.store.renew_lease(runtime.lease)
+            store_eras.note(runtime, lease.era, None, "entry")
         except store_client.StoreUnavailableError as error:
             runtime.reaches_store = False
             outage_log.record_failure(error)
@@ -107,13 +165,13 @@
             continue
         runtime.reaches_store = True
         outage_log.record_success()
-        return is_alive
+        return lease.number == runtime.lease
 
 
 async def _wait(
     runtime: runtimes.Runtime, changed: trio.Event, max_s: float
 ) -> None:
-    """Waits for a change or removal of the entry, at most `max_s`."""
+    """Waits for a change or loss of the entry, at most `max_s`."""
     with trio.move_on_after(max_s):
         async with trio.open_nursery() as nursery:
 
@@ -123,24 +181,36 @@
 
             nursery.start_soon(wait_for, changed)
             nursery.start_soon(wait_for, runtime.own_entry_removed)
+            nursery.start_soon(wait_for, runtime.era_changed)
     if changed.is_set():
         # Changes come in pairs, such as the last state of a target and its
         # successor's first.
         await trio.sleep(_CHANGE_DELAY_S)
 
 
-async def _write(
-    runtime: runtimes.Runtime, value: bytes, revision: int, lease: int
-) -> int:
-    """Overwrites the entry; returns 0 if the lease has ended."""
+async def _write(runtime: runtimes.Runtime, value: bytes, revision: int) -> int:
+    """Overwrites the entry; returns 0 if the lease has ended.
+
+    It has also ended for this node if the response is of a newer era than the
+    lease. The write may then have met a revision that was given out again, and
+    the lease may be that of another node.
+    """
     store = runtime.platform.store
     key = entries.key_of(runtime.settings.host.node_id)
     while True:
-        written = await store.compare_and_swap(key, value, revision, lease)
-        if written >= 0:
-            return written
+        written = await store.compare_and_swap(
+            key, value, revision, runtime.lease
+        )
+        store_eras.note(runtime, written.era, None, "entry")
+        if written.era != runtime.lease_era:
+            return 0
+        if written.revision >= 0:
+            return written.revision
         # Written by an earlier process, or by a write whose response was lost.
         listing = await store.get(key)
+        store_eras.note_position(runtime, listing.position, "entry")
+        if listing.position.era != runtime.lease_era:
+            return 0
         revision = listing.items[0].revision if listing.items else 0
 
 
@@ -154,6 +224,9 @@
     has_left = target is not None and target.state is not targets.State.READY
     if not runtime.lease or has_left:
         return
+    if runtime.lease_era != runtime.store_era.era:
+        # The lease may be that of another node by now.
+        return
     try:
         await runtime.platform.store.revoke_lease(runtime.lease)
     except store_client.StoreUnavailableError as error:
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/evacuation.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/evacuation.py
@@ -49,6 +49,9 @@
       zones: The evacuated zones.
       revision: Revision of the store as of which they are complete; 0 while
         nothing is known.
+      era: Era of the store of that revision.
+      is_provisional: Whether the store, back from an older copy, may lack what
+        its operator wrote; it has to be read again.
       closes_own_zone: Whether the local target gets no calls, because its zone
         is evacuated or because it is not known yet whether it is.
     """
@@ -64,23 +67,48 @@
         self._own_zone = own_zone
         self.zones: frozenset[str] = frozenset()
         self.revision = 0
+        self.era = 0
+        self.is_provisional = False
         self.closes_own_zone = is_expected
 
-    def replace(self, zones: Iterable[str], revision: int) -> Difference:
-        """Sets the complete set of a revision, unless a later one is known."""
-        if revision < self.revision:
+    def replace(
+        self,
+        zones: Iterable[str],
+        revision: int,
+        era: int = 0,
+        written: frozenset[str] | None = None,
+    ) -> Difference:
+        """Sets the complete set of a revision, unless a later one is known.
+
+        Args:
+          zones: The evacuated zones.
+          revision: Revision of the store.
+          era: Era of the store; a newer one goes before any revision.
+          written: Zones certainly evacuated in this era, while the store may
+            lack what its operator wrote; they are added to those known. None
+            if the store is complete.
+        """
+        if (era, revision) < (self.era, self.revision):
             return _NO_DIFFERENCE
+        self.is_provisional = written is not None
+        if written is not None and self.revision:
+            zones = self.zones | written
+        self.era = era
         return self._set(frozenset(zones), revision)
 
     def apply_changes(
-        self, changes: Iterable[ZoneChange], revision: int
+        self, changes: Iterable[ZoneChange], revision: int, era: int = 0
     ) -> Difference:
         """Applies changes in the order of the store.
 
         Args:
           changes: All changes since a revision that this state has passed.
           revision: Revision up to which they are complete.
+          era: Era of the store.
         """
+        if era != self.era:
+            # Another reader has passed on the state of a newer era.
+            return _NO_DIFFERENCE
         zones = set(self.zones)
         for change in changes:
             if change.revision <= self.revision:
--- a/packages/sassafras-standins/src/sassafras_standins/platform/store.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/store.py
@@ -42,10 +42,21 @@
     ends_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """The content of the store at one moment."""
+
+    revision: int
+    items: dict[str, _Item]
+    leases: dict[int, float]
+    next_lease: int
+
+
 class MetadataStore:
     """Serves the store's HTTP interface over keys in memory.
 
     Attributes:
+      era: Era that responses name; None for a store that names none.
       mode: Active fault mode.
       delay_s: Delay of each response in mode `SLOW`.
       calls: Number of calls by method and path.
@@ -53,7 +64,8 @@
         silent or busy.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int | None = None) -> None:
+        self.era = era
         self.mode = Mode.NORMAL
         self.delay_s = 0.2
         self.calls: collections.Counter[str] = collections.Counter()
@@ -95,6 +107,39 @@
         self._history.clear()
         self._notify_watches()
 
+    def copy(self) -> Copy:
+        """Returns a copy of the content, to which `come_back` returns."""
+        return Copy(
+            self._revision,
+            dict(self._items),
+            {number: lease.ttl_s for number, lease in self._leases.items()},
+            self._next_lease,
+        )
+
+    def come_back(self, copy: Copy) -> None:
+        """Returns to a copy and begins the next era.
+
+        Everything since is lost, and its revisions and lease numbers are given
+        out again. Open watches go on or end with status 410. Leases of the copy
+        begin anew.
+        """
+        self.era = (self.era or 0) + 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = [
+            event
+            for event in self._history
+            if event["Revision"] <= copy.revision
+        ]
+        self._compacted = min(self._compacted, copy.revision)
+        now = trio.current_time()
+        self._leases = {
+            number: _Lease(ttl_s, now + ttl_s)
+            for number, ttl_s in copy.leases.items()
+        }
+        self._next_lease = copy.next_lease
+        self._notify_watches()
+
     async def run(
         self,
         address: str,
@@ -114,15 +159,25 @@
         if self.mode is Mode.SILENT:
             await trio.sleep(_NO_RESPONSE_S)
         if self.mode is Mode.BUSY:
-            return serving.response(b"{}", 503)
+            return self._name_era(serving.response(b"{}", 503))
         if self.mode is Mode.SLOW:
             await trio.sleep(self.delay_s)
         is_write = request.method != "GET"
-        response = await self._dispatch(request)
+        response = self._name_era(await self._dispatch(request))
         if is_write and self.mode is Mode.LOSES_ANSWERS:
             await trio.sleep(_NO_RESPONSE_S)
         return response
 
+    def _name_era(
+        self, response: messages.CallResponse
+    ) -> messages.CallResponse:
+        if self.era is None:
+            return response
+        return dataclasses.replace(
+            response,
+            headers=(*response.headers, ("store-era", str(self.era))),
+        )
+
     async def _dispatch(
         self, request: messages.Request
     ) -> messages.CallResponse:
@@ -166,7 +221,7 @@
     ) -> messages.CallResponse:
         with trio.move_on_after(wait_ms / 1000):
             while True:
-                if after < self._compacted:
+                if after < self._compacted or after > self._revision:
                     return serving.response(b"{}", 410)
                 changed = self._change_event
                 events = self._events(prefix, after)
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -7,6 +7,7 @@
 
 import pydantic
 
+from sassafras_policy.mesh import eras
 from sassafras_policy.mesh import targets
 from sassafras_wire.peer import models
 
@@ -72,12 +73,16 @@
       configuration_version: Version that the pinging node has.
       members_revision: Revision of the store at which the pinging node has the
         entries of all nodes; None if it does not ask for them.
+      members_era: Era of the store of that revision.
+      store_era: The newest era of the store that the pinging node knows of.
     """
 
     type: Literal["mesh_ping"] = "mesh_ping"
     number: int = pydantic.Field(gt=0)
     configuration_version: int
     members_revision: int | None = None
+    members_era: _Number = 0
+    store_era: _Number = 0
 
 
 @models.message_types.register("mesh_news")
@@ -102,6 +107,9 @@
       evacuated_zones: Availability zones whose targets get no calls.
       evacuations_revision: Revision of the store as of which these are all; 0
         if the node does not know.
+      evacuations_era: Era of the store of that revision.
+      members_era: Era of the store of the two revisions.
+      store_era: The newest era of the store that the node knows of.
     """
 
     type: Literal["mesh_news"] = "mesh_news"
@@ -119,6 +127,9 @@
     removed_members: tuple[str, ...] = ()
     evacuated_zones: tuple[str, ...] = ()
     evacuations_revision: _Number = 0
+    evacuations_era: _Number = 0
+    members_era: _Number = 0
+    store_era: _Number = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,12 +142,19 @@
       since: Revision after which the entries have changed; None if they are
         those of all nodes.
       removed: Nodes whose entries are gone from the store.
+      era: Era of the store of the two revisions.
     """
 
     revision: int
     members: bytes
     since: int | None = None
     removed: tuple[str, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> eras.Position:
+        """Position of the store at which the entries are complete."""
+        return eras.Position(self.era, self.revision)
 
 
 _MEMBERS = pydantic.TypeAdapter(list[NodeEntryModel])
