--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -68,7 +68,6 @@
                     subscribed = True
                     nursery.start_soon(_send_updates, runtime, link)
                 if isinstance(message, link_messages.Ping):
-                    store_eras.note_peer(runtime, message.store_era, peer)
                     subscriber.version = message.configuration_version
                     subscriber.members_position = _members_position(message)
                     if subscriber.members_position is not None and (
@@ -104,6 +103,7 @@
     runtime: runtimes.Runtime, message: models.Message
 ) -> models.Message:
     assert isinstance(message, link_messages.Ping)
+    store_eras.note_peer(runtime, message.store_era, "another node")
     return node_update(
         runtime,
         message.configuration_version,
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/configuration.py
@@ -19,6 +19,8 @@
 _OTHERS_RETRY_S = 1.0
 # Delay until a node notices that it has become the reader of its zone.
 _ROLE_CHECK_S = 0.25
+# The difference of two times may be less than a clock can advance by.
+_MIN_WAIT_S = 0.001
 
 
 @events.declare(840, "INFO")
@@ -80,7 +82,7 @@
         age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
         if age_s >= limit_s:
             return
-        await trio.sleep(min(limit_s - age_s, _ROLE_CHECK_S))
+        await trio.sleep(max(_MIN_WAIT_S, min(limit_s - age_s, _ROLE_CHECK_S)))
 
 
 def _unproved_pause_s(runtime: runtimes.Runtime) -> float:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/eras.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/eras.py
@@ -1,6 +1,9 @@
 """Notices when the store has come back from an older copy."""
 
+import trio
+
 from sassafras_base import events
+from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_policy.mesh import eras
 from sassafras_wire.store import client as store_client
@@ -55,6 +58,47 @@
     _record(runtime, era, None, node_id)
 
 
+async def changes(
+    runtime: runtimes.Runtime,
+    prefix: str,
+    after: eras.Position,
+    wait_s: float,
+) -> interfaces.Listing:
+    """Returns changes of the store like `interfaces.Store.changes`.
+
+    The call ends when this node learns otherwise of a new era, as a watch may
+    stay open while the store comes back.
+
+    Raises:
+      HistoryLostError: The store no longer has these changes, or is in another
+        era.
+    """
+    listing: interfaces.Listing | None = None
+    failure: Exception = interfaces.HistoryLostError(prefix)
+    async with trio.open_nursery() as nursery:
+
+        async def end_at_return(changed: trio.Event) -> None:
+            await changed.wait()
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(end_at_return, runtime.era_changed)
+        if after.era == runtime.store_era.era:
+            try:
+                listing = await runtime.platform.store.changes(
+                    prefix, after, wait_s
+                )
+            except (
+                interfaces.HistoryLostError,
+                store_client.StoreUnavailableError,
+            ) as error:
+                # A nursery would put it into a group.
+                failure = error
+        nursery.cancel_scope.cancel()
+    if listing is None:
+        raise failure
+    return listing
+
+
 def _record(
     runtime: runtimes.Runtime, era: int, revision: int | None, source: str
 ) -> None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -80,8 +80,8 @@
 ) -> eras.Position:
     """Applies the changes since a position; returns the next one."""
     runtime.is_watching_members = True
-    listing = await runtime.platform.store.changes(
-        entries.PREFIX, position, _WAIT_S
+    listing = await store_eras.changes(
+        runtime, entries.PREFIX, position, _WAIT_S
     )
     store_eras.note_position(runtime, listing.position, "members")
     for item in listing.items:
