--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -370,6 +370,9 @@
     @property
     def demand(self) -> dict[str, float]:
         """Requests a second that arrive here, by organisation."""
+        if self._limiter_context is None:
+            # Other nodes ping this one before it has a configuration.
+            return {}
         if not isinstance(self.limiter, limiters.DemandRecorder):
             return {}
         return self.limiter.demand(self.clock.now_with_suspend())
