--- a/packages/sassafras-standins/src/sassafras_standins/soak/faults.py
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/faults.py
@@ -16,6 +16,9 @@
 Fault = Callable[[fleets.Fleet, fleets.Host, random.Random], Awaitable[None]]
 
 faults: registry.Registry[Fault] = registry.Registry("soak fault")
+# Each run has all of these, at times of their own. Among the faults they would
+# change the sequence of the seeds that failed before.
+drills: registry.Registry[Fault] = registry.Registry("soak drill")
 
 _STORE_MODES = [
     mode for mode in store_standin.Mode if mode != store_standin.Mode.NORMAL
@@ -28,6 +31,11 @@
 # The platform restarts a process after a short delay.
 _RESTART_S = (0.2, 1.5)
 _MAX_DRAIN_S = 4.0
+# Age of a copy of the store, and the time for which the store is away.
+_COPY_AGE_S = (0.1, 4.0)
+_AWAY_S = (0.0, 0.8)
+# Operators notice the return of the store within a second.
+_MAX_REWRITE_S = 1.0
 
 
 def _random_duration_s(rng: random.Random) -> float:
@@ -164,3 +172,22 @@
     """Withdraws a key that callers keep using."""
     del host
     fleet.revoke(rng.choice(sorted(fleets.KEYS)))
+
+
+@drills.register("store-returns")
+async def return_store(
+    fleet: fleets.Fleet, host: fleets.Host, rng: random.Random
+) -> None:
+    """Has the store come back from a copy that is some seconds old.
+
+    The operator writes its newest configuration again.
+    """
+    del host
+    copy = fleet.store.copy()
+    await trio.sleep(rng.uniform(*_COPY_AGE_S))
+    fleet.store.mode = store_standin.Mode.SILENT
+    await trio.sleep(rng.uniform(*_AWAY_S))
+    fleet.store.come_back(copy)
+    fleet.store.mode = store_standin.Mode.NORMAL
+    await trio.sleep(rng.uniform(0.0, _MAX_REWRITE_S))
+    fleet.rewrite_configuration()
--- a/packages/sassafras-standins/src/sassafras_standins/soak/fleet.py
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/fleet.py
@@ -67,6 +67,7 @@
         self._folder = folder
         self._settings = settings
         self._version = 0
+        self._document = b""
         self._keys = {name: list(keys) for name, keys in KEYS.items()}
 
     async def start(self, count: int) -> None:
@@ -86,10 +87,14 @@
             documents.TenantRow(name, tuple(keys))
             for name, keys in self._keys.items()
         )
-        self.store.put(
-            "op/config",
-            documents.configuration(self._version, _ROUTES, tenants),
+        self._document = documents.configuration(
+            self._version, _ROUTES, tenants
         )
+        self.rewrite_configuration()
+
+    def rewrite_configuration(self) -> None:
+        """Writes the newest configuration again, as operators do."""
+        self.store.put("op/config", self._document)
 
     def revoke(self, organisation: str) -> None:
         """Withdraws the second key of an organisation, if it still has one."""
--- a/packages/sassafras-standins/src/sassafras_standins/soak/runner.py
+++ b/packages/sassafras-standins/src/sassafras_standins/soak/runner.py
@@ -13,6 +13,7 @@
 
 # Mean time between the starts of two faults; most last longer and overlap.
 _MEAN_INTERVAL_S = 0.8
+_MEAN_DRILL_INTERVAL_S = 3.0
 # The platform's limit for recovery after the last fault.
 _RECOVERY_S = 15.0
 _CALLERS_PER_MACHINE = 3
@@ -65,6 +66,10 @@
                         callers.run, fleet, host, name, _child_rng(rng)
                     )
             async with trio.open_nursery() as running:
+                drill_rng = random.Random(f"drills of {seed}")
+                running.start_soon(
+                    _run_drills, fleet, drill_rng, seconds, started
+                )
                 await _inject_faults(fleet, running, rng, seconds, started)
             await _check_recovery(fleet)
             # Leaves time for a delayed duplicate of a request to execute.
@@ -100,6 +105,25 @@
         )
 
 
+async def _run_drills(
+    fleet: fleets.Fleet,
+    rng: random.Random,
+    seconds: float,
+    started: list[str],
+) -> None:
+    """Runs drills one after another, beside the faults."""
+    ends_at = trio.current_time() + seconds
+    names = sorted(faults.drills.names)
+    while True:
+        await trio.sleep(rng.expovariate(1.0 / _MEAN_DRILL_INTERVAL_S))
+        if trio.current_time() >= ends_at:
+            return
+        name = rng.choice(names)
+        host = rng.choice(fleet.hosts)
+        started.append(f"{name} at {host.machine.name}")
+        await faults.drills.get(name)(fleet, host, _child_rng(rng))
+
+
 async def _check_recovery(fleet: fleets.Fleet) -> None:
     """Records a violation unless each machine serves again in time."""
     with trio.move_on_after(_RECOVERY_S):
--- a/tests/mesh/test_store_eras.py
+++ b/tests/mesh/test_store_eras.py
@@ -7,7 +7,9 @@
 
 from common import store_fleet
 from sassafras_node.mesh import interfaces
+from sassafras_node.mesh.peers import link_session
 from sassafras_node.mesh.store import entries
+from sassafras_node.mesh.store import own_entry
 from sassafras_platform import store as platform_store
 from sassafras_policy.calls import messages
 from sassafras_policy.mesh import change_log
@@ -524,3 +526,68 @@
         fleet.store.compact()
         await _start(fleet, "four")
         assert len(fleet.nodes["one"].fleet) == 3
+
+
+async def test_a_late_call_of_the_era_before_is_overwritten():
+    """Guards against an entry that a call held up since the copy replaces.
+
+    Its condition may hold at a revision that was given out again.
+    """
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "one", "two")
+        node = fleet.nodes["one"]
+        own_key = entries.key_of("one")
+        before = entries.encode(fleet.stored_entry("one"))
+        assert await fleet.announce("one", "target-b", _READY, 1)
+        await store_fleet.until(
+            lambda: node.stored_entry_number == node.entry.number
+        )
+        fleet.come_back(fleet.store.copy())
+        await store_fleet.until(lambda: node.lease_era == 2, 3.0)
+        fleet.store.put(own_key, before, node.lease)
+        await trio.sleep(5.0)
+        assert fleet.stored_entry("one") == node.entry
+
+
+async def test_a_write_under_the_lease_of_another_node_does_not_count():
+    """Guards against an entry that ends with another node."""
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "two")
+        copy = fleet.store.copy()
+        await _start(fleet, "one")
+        node, lost = fleet.nodes["one"], fleet.nodes["one"].entry_revision
+        number = node.lease
+        fleet.come_back(copy)
+        fleet.store._grant_lease(600_000)
+        while fleet.store.revision < lost - 1:
+            fleet.store.put("x/filler", b"")
+        fleet.store.put(entries.key_of("one"), b"{}")
+        assert fleet.store._items[entries.key_of("one")].revision == lost
+        # The node does not know yet; its condition holds by chance.
+        leaving = targets.State.LEAVING
+        assert await fleet.announce("one", "target-one", leaving, 2)
+        item = fleet.store._items[entries.key_of("one")]
+        assert item.lease == node.lease != number
+        assert fleet.stored_entry("one") == node.entry
+
+
+async def test_a_stopping_node_ends_no_lease_of_an_older_era():
+    """Guards against the end of another node's entry at a planned stop."""
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "one")
+        node = fleet.nodes["one"]
+        node.record_era(2, None)
+        fleet.store.calls.clear()
+        await own_entry.withdraw(node)
+        assert not [name for name in fleet.store.calls if "lease-end" in name]
+
+
+async def test_a_node_without_a_configuration_answers_pings():
+    """Guards against links that end until a starting node has read it."""
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "one")
+        fleet.cut.add("two")
+        await fleet.start_node("two")
+        await trio.sleep(0.1)
+        update = link_session.node_update(fleet.nodes["two"], 0)
+        assert update.configuration_version == 0
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -35,3 +35,4 @@
 def test_every_kind_of_fault_is_registered():
     """Guards against a fault that soak runs no longer inject."""
     assert len(faults.faults.names) == 11
+    assert list(faults.drills.names) == ["store-returns"]
