--- a/packages/sassafras-policy/src/sassafras_policy/mesh/evacuation.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/evacuation.py
@@ -90,9 +90,11 @@
         """
         if (era, revision) < (self.era, self.revision):
             return _NO_DIFFERENCE
-        self.is_provisional = written is not None
         if written is not None and self.revision:
-            zones = self.zones | written
+            # The position stays, so that the next complete set replaces this.
+            self.is_provisional = True
+            return self._set(self.zones | written, self.revision)
+        self.is_provisional = written is not None
         self.era = era
         return self._set(frozenset(zones), revision)
 
@@ -106,6 +108,9 @@
           revision: Revision up to which they are complete.
           era: Era of the store.
         """
+        if era != self.era and self.is_provisional:
+            begun = frozenset(c.zone for c in changes if c.is_evacuated)
+            return self._set(self.zones | begun, self.revision)
         if era != self.era:
             # Another reader has passed on the state of a newer era.
             return _NO_DIFFERENCE
