--- a/tests/mesh/test_store_eras.py
+++ b/tests/mesh/test_store_eras.py
@@ -21,6 +21,7 @@
 from sassafras_wire.store import client as store_client
 
 _READY = targets.State.READY
+_EVACUATION = "op/evacuate/zone-z"
 
 
 def test_a_newer_era_goes_before_any_revision():
@@ -591,3 +592,61 @@
         await trio.sleep(0.1)
         update = link_session.node_update(fleet.nodes["two"], 0)
         assert update.configuration_version == 0
+
+
+def _zones(fleet):
+    return {name: n.evacuations.zones for name, n in fleet.nodes.items()}
+
+
+@pytest.mark.parametrize("was_read", [True, False])
+async def test_an_evacuation_that_the_store_lost_stays(was_read):
+    """Guards against calls to a zone that its operator empties."""
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "one", "two")
+        copy = fleet.store.copy()
+        fleet.store.put(_EVACUATION, b"{}")
+        await trio.sleep(1.0 if was_read else 0.0)
+        fleet.come_back(copy)
+        if not was_read:
+            await trio.sleep(1.0)
+            fleet.store.put(_EVACUATION, b"{}")
+            await trio.sleep(1.0)
+        returned_at = trio.current_time()
+        is_written = not was_read
+        while trio.current_time() < returned_at + 6.0:
+            assert all(zones == {"zone-z"} for zones in _zones(fleet).values())
+            if not is_written and trio.current_time() > returned_at + 1.5:
+                fleet.store.put(_EVACUATION, b"{}")
+                is_written = True
+            await trio.sleep(0.1)
+
+
+async def test_an_evacuation_that_ended_does_not_come_back():
+    """Guards against a zone that an older copy empties once more."""
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "one", "two")
+        fleet.store.put(_EVACUATION, b"{}")
+        await trio.sleep(1.0)
+        copy = fleet.store.copy()
+        fleet.store.remove(_EVACUATION)
+        await trio.sleep(1.0)
+        assert not any(_zones(fleet).values())
+        fleet.come_back(copy)
+        returned_at = trio.current_time()
+        while trio.current_time() < returned_at + 6.0:
+            assert not any(_zones(fleet).values())
+            if 1.4 < trio.current_time() - returned_at < 1.6:
+                fleet.store.remove(_EVACUATION)
+            await trio.sleep(0.1)
+
+
+async def test_an_evacuation_that_nobody_writes_again_ends():
+    """Guards against a zone without calls that no key asks for."""
+    async with store_fleet.running() as fleet:
+        await _start(fleet, "one", "two")
+        copy = fleet.store.copy()
+        fleet.store.put(_EVACUATION, b"{}")
+        await trio.sleep(1.0)
+        fleet.come_back(copy)
+        await trio.sleep(4.0)
+        assert not any(_zones(fleet).values())
