Send refused calls to full warm targets rather than to cold ones

With real processes, calls ended with cold-target right after a zone was taken back: warm targets had no room at that moment, and the second target that was tried was the cold local one, which the node did not compare as cold. A target whose node had been restarted lost its mark at the first choice. A call that was refused prefers any warm target; the local target is compared with its own state; a new start marks a target only if it is cold.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -197,7 +197,12 @@
         sample = _sample(runtime, others, _WIDE_SAMPLE_SIZE)
         if is_own:
             sample = [*sample, own]
-        candidates = balancers.prefer_warm(_candidates(runtime, sample))
+            runtime.target_tracker.record_cold(
+                own.node_id, runtime.target.cold_s
+            )
+        candidates = balancers.prefer_warm(
+            _candidates(runtime, sample), is_repeat=bool(history.tried)
+        )
         if call.stage:
             candidates = balancers.least_rejecting(candidates)
         choice = runtime.balancer.choose(candidates)
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -66,9 +66,7 @@
     return response.at_target(
         max(gate.load, response.load),
         ((call.service, runtime.effective_level(call)),),
-        target.cold_start.remaining_s(runtime.clock.now())
-        if target.is_cold
-        else 0.0,
+        target.cold_s,
     )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -26,9 +26,9 @@
 def target_cold(target_id: str, cold_s: float, cause: str) -> str:
     """The local target is cold, or may be, and gets calls at a low rate.
 
-    `cold_s` is how long it stays so, as far as is known. `cause` is what it
-    announced, that its address refused a connection, or that its availability
-    zone is no longer evacuated.
+    `cold_s` is how long it stays so, as far as is known. `cause` is that it has
+    announced it, that it had announced nothing for too long, that its address
+    refused a connection, or that its zone is no longer evacuated.
     """
     return f"target {target_id} is cold for {cold_s:.1f} s: {cause}"
 
@@ -107,6 +107,13 @@
             self._clock.now()
         )
 
+    @property
+    def cold_s(self) -> float:
+        """How long the target stays cold, as far as is known; 0 if warm."""
+        if not self.is_cold:
+            return 0.0
+        return self.cold_start.remaining_s(self._clock.now())
+
     def doubt_warmth(self, cause: str) -> None:
         """Considers the target cold until it announces that it is not.
 
@@ -149,7 +156,9 @@
             or self._published is None
         )
         self.cold_start.announce(announcement.cold_start_s, is_new_start, now)
-        self._log_cold("announced")
+        self._log_cold(
+            "announced" if announcement.cold_start_s else "it was silent"
+        )
         if is_new_start:
             await self.pool.close()
             self.pool = self._new_pool()
@@ -180,8 +189,7 @@
             return
         self._is_cold_logged = is_cold
         if is_cold:
-            remaining_s = self.cold_start.remaining_s(self._clock.now())
-            target_cold(current.target_id, round(remaining_s, 3), cause)
+            target_cold(current.target_id, round(self.cold_s, 3), cause)
         else:
             target_warm(current.target_id)
 
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -124,7 +124,8 @@
         tracked = self._targets.get(node_id) or self._tracked(node_id)
         target = tracked.health
         now = self._clock.now()
-        if target.set_identity(identity, now) and is_cold_limited:
+        is_replaced = target.set_identity(identity, now)
+        if is_replaced and is_cold_limited and cold_start_s:
             target.record_cold(cold_start_s, now)
         return balancers.Candidate(
             node_id=node_id,
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -69,16 +69,25 @@
     return [c for c in candidates if c.node_id not in excluded]
 
 
-def prefer_warm(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+def prefer_warm(
+    candidates: Sequence[Candidate], is_repeat: bool = False
+) -> Sequence[Candidate]:
     """Returns the warm candidates with room, or all if there are none.
 
     A cold target has a low load, as it gets calls at a low rate only, and
     balancers would prefer it.
+
+    Args:
+      candidates: The candidates.
+      is_repeat: Whether another target has refused the call. It then goes to a
+        warm target without room, which may queue it, before a cold one.
     """
     if not any(c.cold for c in candidates):
         return candidates
     warm = [
-        c for c in candidates if not c.cold and not c.ejected and c.score < 1.0
+        c
+        for c in candidates
+        if not c.cold and not c.ejected and (is_repeat or c.score < 1.0)
     ]
     return warm or candidates
 
--- a/tests/mesh/test_cold_targets.py
+++ b/tests/mesh/test_cold_targets.py
@@ -6,6 +6,7 @@
 
 from common import mesh_fleet
 from common import waiting
+from sassafras_node.mesh.calls import dispatch
 from sassafras_node.mesh.calls import local
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -101,6 +102,25 @@
     await _with_fleet(tmp_path, ("a1", "a2", "b1"), check)
 
 
+async def test_a_refused_call_is_not_sent_to_the_cold_local_target(tmp_path):
+    """Guards against refusals by two cold targets while a full one may queue.
+
+    Seen with real processes right after a zone was taken back.
+    """
+
+    async def check(fleet):
+        node = fleet.nodes["a1"]
+        node.target.doubt_warmth("test")
+        full = messages.CallResponse(outcome=outcomes.Outcome.RAN, load=5.0)
+        node.target_tracker.record_response("b1", full)
+        refused = dispatch.SendHistory(tried=["a2"])
+        for _ in range(20):
+            chosen = dispatch._choose(node, _call(node, 1), refused)
+            assert chosen.node_id == "b1"
+
+    await _with_fleet(tmp_path, ("a1", "a2", "b1"), check)
+
+
 async def test_without_a_rate_in_the_configuration_nothing_changes(tmp_path):
     """Guards against a change for earlier deployments."""
 
