--- a/packages/sassafras-standins/src/sassafras_standins/platform/documents.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/documents.py
@@ -62,6 +62,7 @@
     routes: tuple[RouteRow, ...],
     tenants: tuple[TenantRow, ...] = (),
     services: tuple[ServiceRow, ...] = (),
+    idle_timeout_ms: int = 15_000,
 ) -> bytes:
     """Returns the value of the configuration key in the store."""
     content: dict[str, Any] = {
@@ -80,7 +81,7 @@
             "MaxHeaderBytes": 16384,
             "MaxBodyBytes": 67108864,
             "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
+            "IdleTimeoutMs": idle_timeout_ms,
         },
     }
     if tenants:
@@ -125,6 +126,8 @@
     store_address: str,
     zones: tuple[str, ...] = (),
     more_bounds: tuple[str, ...] = (),
+    memory_mb: int = 300,
+    descriptors: int = 4100,
 ) -> bytes:
     """Returns the boot file of a node.
 
@@ -138,6 +141,8 @@
       store_address: Address of the store.
       zones: All zones; only the node's own if empty.
       more_bounds: Bounds of the form `name=value` beside those of all sites.
+      memory_mb: Memory limit of the process.
+      descriptors: Limit on its open descriptors.
     """
     return json.dumps(
         {
@@ -150,7 +155,7 @@
                 for name in ("Outbound", "Ready", "Control")
             },
             "InternalPorts": [ports["Internal"], ports["Internal"] + 15],
-            "Limits": {"MemoryMb": 300, "MaxFds": 4100},
+            "Limits": {"MemoryMb": memory_mb, "MaxFds": descriptors},
             "HeartbeatMs": 500,
             "Bounds": [
                 "ConfigApplyMs=2000",
--- a/packages/sassafras-standins/src/sassafras_standins/platform/machines.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/machines.py
@@ -36,6 +36,8 @@
       ports: Ports by `Outbound`, `Ready`, `Control`, `Internal` and `App`.
       zones: All zones of the site; only its own if empty.
       more_bounds: Bounds of the site beside those of all sites.
+      memory_mb: Memory limit of the node.
+      descriptors: Limit on the open descriptors of the node.
     """
 
     name: str
@@ -45,6 +47,8 @@
     ports: dict[str, int]
     zones: tuple[str, ...] = ()
     more_bounds: tuple[str, ...] = ()
+    memory_mb: int = 300
+    descriptors: int = 4100
 
     def address(self, port: str) -> str:
         """Returns `host:port` for one of the names in `ports`."""
@@ -62,6 +66,8 @@
             store_address=store_address,
             zones=self.zones,
             more_bounds=self.more_bounds,
+            memory_mb=self.memory_mb,
+            descriptors=self.descriptors,
         )
 
     def endpoint_settings(self, **changes: object) -> endpoint.EndpointSettings:
