Reject statuses above 599 from targets and invalid ones from nodes

The parser accepts any three digits from 200 on as the status of a final response, so 600 to 999 reached callers; the status in the message of another node was not checked at all. 000, other values below 100 and statuses of other lengths were errors before. ClientConnection checks the upper bound, AnswerMessage both. The store's client took no such status for data before either.

--- a/packages/sassafras-wire/src/sassafras_wire/http/client.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/client.py
@@ -61,6 +61,10 @@
 # More responses than this before the right one are a protocol error.
 _MAX_SKIPPED_RESPONSES = 4
 
+# RFC 9110, section 15. The parser accepts any three digits for a final response
+# except those below 200.
+_MAX_STATUS = 599
+
 # A server in trouble may send interim responses without end.
 _MAX_INTERIM_RESPONSES = 16
 
@@ -418,6 +422,8 @@
         for _ in range(_MAX_INTERIM_RESPONSES):
             event = await self._next_event(exchange)
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    raise self._excess(f"has the status {event.status_code}")
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise self._lost("closed before it answered")
--- a/packages/sassafras-wire/src/sassafras_wire/http/plain.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/plain.py
@@ -25,7 +25,7 @@
     rf"({_TOKEN}) (/[\x21-\x7e]*+) HTTP/1\.1\r\n{_FIELDS}"
 )
 _response_head = re.compile(
-    rf"HTTP/1\.1 ([2-9][0-9]{{2}})(?: {_TEXT})?\r\n{_FIELDS}"
+    rf"HTTP/1\.1 ([2-5][0-9]{{2}})(?: {_TEXT})?\r\n{_FIELDS}"
 )
 _lower_token = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+")
 _method = re.compile(_TOKEN)
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -78,7 +78,7 @@
     type: Literal["mesh_answer"] = "mesh_answer"
     outcome: outcomes.Outcome
     reason: outcomes.Reason = outcomes.Reason.NONE
-    status: int
+    status: int = pydantic.Field(ge=100, le=599)
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     load: float = 0.0
