Bound what clients hold, and close those that wait for the longest

Nothing bounded the connections of callers, other nodes and strangers against MaxFds; at the limit an accept loop failed, was restarted and gave up. Heads with many small fields took fifty times their bytes and were counted nowhere, nor were bytes that had arrived and were not parsed, refused requests while their connections closed, heads of upgrades and unfinished messages on links. An unread response kept its memory until its client left. Requests and responses that clients do not send or read on give way where others need the memory; a client that reads nothing for IdleTimeoutMs is closed. Heads, unparsed bytes and unread messages of links are reserved. The hot path has two operations on a dictionary more for each request; its cost was not measured.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -8,6 +8,8 @@
 
 from sassafras_base import clock as clocks
 from sassafras_node import drain as drains
+from sassafras_node import slow_sends
+from sassafras_policy.admission import connections
 from sassafras_policy.admission import memory as memories
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -83,6 +85,7 @@
     refusal_formatter: RefusalFormatter = refusal_as_text,
     format_headers: http_server.HeaderFormatter = http_server.standard_headers,
     memory: memories.Reservation | None = None,
+    group: connections.ConnectionGroup | None = None,
 ) -> None:
     """Serves the requests of a connection, one after another.
 
@@ -98,22 +101,34 @@
       format_headers: Formats the header fields of responses.
       memory: What the handler reserves for a response; released when the
         response has been sent.
+      group: The connections that this one gives way to while it waits for its
+        client; None for no others.
     """
+    if group is None:
+        group = connections.unlimited()
+    slow_sends.SlowSends(
+        stream,
+        group,
+        runtime.idle_deadlines,
+        lambda: runtime.http_limits.idle_timeout_s,
+        memory,
+    )
+    refusal: messages.CallResponse | None = None
     connection = http_server.ServerConnection(
         stream, peer, runtime.http_limits, runtime.body_budget, format_headers
     )
     try:
         with runtime.disconnects.watch(stream) as watch:
             while await _serve_next(
-                runtime, stream, connection, handler, watch
+                runtime, stream, connection, handler, watch, group
             ):
                 if memory is not None:
                     memory.release()
         if runtime.drain.is_draining:
             await stream.close_gracefully()
     except http_server.RequestRefusedError as error:
-        await _refuse(connection, refusal_formatter(error))
-        await stream.close_gracefully()
+        # The traceback of the error holds all that has arrived.
+        refusal = refusal_formatter(error)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The other side has disconnected.
         return
@@ -121,6 +136,11 @@
         runtime.idle_deadlines.clear(stream)
         if memory is not None:
             memory.release()
+    if refusal is not None:
+        await _refuse(connection, refusal)
+        del connection
+        group.wait(stream)
+        await stream.close_gracefully()
 
 
 async def _serve_next(
@@ -129,11 +149,13 @@
     connection: http_server.ServerConnection,
     handler: Handler,
     watch: disconnects.Watch,
+    group: connections.ConnectionGroup,
 ) -> bool:
     """Serves one request; returns False when the connection has ended."""
     runtime.idle_deadlines.set(
         stream, runtime.clock.now() + runtime.http_limits.idle_timeout_s
     )
+    group.wait(stream)
     if not await connection.await_request():
         return False
     runtime.idle_deadlines.clear(stream)
@@ -142,6 +164,7 @@
         request = await connection.receive()
         if request is None:
             return False
+        group.proceed(stream)
         # A full node reads a request long after it has arrived.
         if stream.is_disconnected():
             return False
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -3,6 +3,7 @@
 from sassafras_node import http_session
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.reports import exposition
+from sassafras_policy.admission import connections
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import sockets
@@ -11,7 +12,10 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
+    runtime: runtimes.Runtime,
+    group: connections.ConnectionGroup,
+    stream: sockets.SocketStream,
+    peer: str,
 ) -> None:
     """Serves requests until the client disconnects."""
 
@@ -33,6 +37,7 @@
         peer,
         handle,
         format_headers=runtime.platform.front_end.response_headers,
+        group=group,
     )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
@@ -23,4 +23,5 @@
         handle,
         format_headers=runtime.platform.front_end.response_headers,
         memory=memory,
+        group=runtime.connections.callers,
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/supervisor.py
@@ -8,6 +8,7 @@
 
 from sassafras_base import supervision
 from sassafras_node import listening
+from sassafras_node.mesh import refusals
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.callers import readiness
 from sassafras_node.mesh.callers import session
@@ -38,20 +39,28 @@
 ) -> tuple[listening.Listener, listening.Listener, listening.Listener]:
     """Returns the listeners for callers, for readiness and for metrics."""
     host = runtime.settings.host
+    groups = runtime.connections
+    refuse = functools.partial(refusals.of_http_connection, runtime)
     return (
         listening.Listener(
             "caller",
             host.caller_address,
             functools.partial(session.serve, runtime),
+            groups.callers,
+            refuse,
         ),
         listening.Listener(
             "readiness",
             host.readiness_address,
-            functools.partial(readiness.serve, runtime),
+            functools.partial(readiness.serve, runtime, groups.readiness),
+            groups.readiness,
+            refuse,
         ),
         listening.Listener(
             "metrics",
             host.metrics_address,
-            functools.partial(readiness.serve, runtime),
+            functools.partial(readiness.serve, runtime, groups.metrics),
+            groups.metrics,
+            refuse,
         ),
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -16,6 +16,8 @@
     "sub_calls": "Requests of the target beside alone, by their end.",
     "calls": "Calls of other nodes, by their end.",
     "withheld_calls": "Calls not sent to the target beside, by the reason.",
+    "connections_closed": "Connections closed to make room, by what was full.",
+    "connections_refused": "Connections refused, by listener.",
 }
 # Latencies of a service that are counted before the histogram takes them, which
 # makes six function calls for each.
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_pools.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_pools.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from sassafras_policy.admission import connections
 from sassafras_policy.calls import progress as progresses
 from sassafras_wire.http import deadlines
 from sassafras_wire.http import pool
@@ -18,9 +19,19 @@
 class CallPools:
     """One pool for each address of a node."""
 
-    def __init__(self, monitor: deadlines.DeadlineMonitor) -> None:
-        """Creates pools whose exchanges a monitor ends at their deadlines."""
+    def __init__(
+        self,
+        monitor: deadlines.DeadlineMonitor,
+        budget: connections.SocketBudget | None = None,
+    ) -> None:
+        """Creates pools without connections.
+
+        Args:
+          monitor: Ends exchanges at their deadlines.
+          budget: Counts the sockets of the process; None for no limit.
+        """
         self._monitor = monitor
+        self._budget = budget
         self._pools: dict[str, pool.Pool[call_connection.CallConnection]] = {}
 
     async def exchange(
@@ -31,9 +42,9 @@
         deadline: float,
     ) -> call_messages.AnswerMessage:
         """Sends an encoded call; raises as `CallConnection.exchange` does."""
-        connections = self._pools.get(address)
-        if connections is None:
-            connections = pool.Pool(
+        found = self._pools.get(address)
+        if found is None:
+            found = pool.Pool(
                 functools.partial(
                     call_connection.CallConnection.connect,
                     address,
@@ -41,14 +52,19 @@
                 ),
                 _MAX_CONNECTIONS,
                 self._monitor,
+                self._budget,
             )
-            self._pools[address] = connections
-        return await connections.use(
+            self._pools[address] = found
+        return await found.use(
             lambda connection: connection.exchange(call, progress), deadline
         )
 
     async def drop(self, address: str) -> None:
         """Closes the idle connections to a node that is gone."""
-        connections = self._pools.pop(address, None)
-        if connections is not None:
-            await connections.close()
+        found = self._pools.pop(address, None)
+        if found is not None:
+            await found.close()
+
+    def close_longest_idle(self) -> bool:
+        """Closes an idle connection of some pool; False if there is none."""
+        return any(found.close_longest_idle() for found in self._pools.values())
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -2,6 +2,7 @@
 
 from sassafras_base import errors
 from sassafras_base import events
+from sassafras_node import slow_sends
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import local
 from sassafras_policy.admission import memory as memories
@@ -50,9 +51,17 @@
     connection = frames.FrameStream(
         stream, peer, call_connection.MAX_MESSAGE_BYTES
     )
+    memory = runtime.response_budget.open()
+    slow_sends.SlowSends(
+        stream,
+        runtime.connections.calls,
+        runtime.idle_deadlines,
+        lambda: call_connection.IDLE_TIMEOUT_S,
+        memory,
+    )
     try:
         with runtime.disconnects.watch(stream) as watch:
-            while await _serve_next(runtime, stream, connection, watch):
+            while await _serve_next(runtime, stream, connection, watch, memory):
                 pass
     except (errors.ConnectionLostError, errors.UnreachableError):
         # The other node has closed it, so its calls have ended there.
@@ -68,11 +77,14 @@
     stream: sockets.SocketStream,
     connection: frames.FrameStream,
     watch: disconnects.Watch,
+    memory: memories.Reservation,
 ) -> bool:
     """Serves one call; returns False when no other call may follow."""
     runtime.idle_deadlines.set(
         stream, runtime.clock.now() + call_connection.IDLE_TIMEOUT_S
     )
+    group = runtime.connections.calls
+    group.wait(stream)
     length = await connection.receive_length()
     if length is None:
         return False
@@ -80,11 +92,15 @@
         if not await connection.discard(length):
             return False
         return await _send_response(runtime, connection, _out_of_memory())
-    memory = runtime.response_budget.open()
+    reserved = _CallBytes(runtime, stream, length)
     runtime.drain.enter()
     try:
+        if not connection.has_content(length):
+            runtime.body_budget.stalled.add(stream, reserved.abandon)
         message = await _receive_call(connection, length)
+        runtime.body_budget.stalled.remove(stream)
         runtime.idle_deadlines.clear(stream)
+        group.proceed(stream)
         # A full node reads a call long after it has arrived.
         if message is None or stream.is_disconnected():
             return False
@@ -94,10 +110,35 @@
         return await _send_response(runtime, connection, response)
     finally:
         memory.release()
-        runtime.body_budget.release(length)
+        runtime.body_budget.stalled.remove(stream)
+        reserved.release()
         runtime.drain.leave()
 
 
+class _CallBytes:
+    """The memory that is reserved for one call."""
+
+    def __init__(
+        self,
+        runtime: runtimes.Runtime,
+        stream: sockets.SocketStream,
+        length: int,
+    ) -> None:
+        self._runtime = runtime
+        self._stream = stream
+        self._held = length
+
+    def release(self) -> None:
+        """Releases it; again without effect."""
+        self._runtime.body_budget.release(self._held)
+        self._held = 0
+
+    def abandon(self) -> None:
+        """Closes the connection on which the call has not arrived."""
+        self.release()
+        self._stream.close()
+
+
 async def _receive_call(
     connection: frames.FrameStream, length: int
 ) -> call_messages.CallMessage | None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -8,9 +8,12 @@
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import registry
+from sassafras_node import slow_sends
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_policy.admission import memory as memories
 from sassafras_wire.http import sockets
 from sassafras_wire.mesh import link_messages
+from sassafras_wire.peer import bounded_stream
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
@@ -19,6 +22,10 @@
 # Links for updates carry regular pings, and the other side closes idle links
 # for token requests, so a longer silence means a lost link.
 _SILENCE_TIMEOUT_S = 40.0
+# Pings and requests for tokens have fewer than a thousand bytes.
+_MAX_MESSAGE_BYTES = 16 * 1024
+# The other side waits less long for the response to a ping.
+_SEND_TIMEOUT_S = 2.0
 _NO_MEMBERS = link_messages.MembersUpdate(0, b"")
 
 
@@ -52,16 +59,28 @@
     A node of the same zone that takes this one for a reader of the store gets
     its changes as well.
     """
+    group = runtime.connections.links
+    memory = runtime.response_budget.open()
+    _LinkSends(runtime, stream, memory)
+    bounded = bounded_stream.BoundedStream(stream)
     async with trio.open_nursery() as nursery:
         try:
             link = await links.upgrade(
-                nursery, stream, peer, _UPGRADE_TIMEOUT_S
+                nursery,
+                bounded,
+                peer,
+                _UPGRADE_TIMEOUT_S,
+                max_bytes=_MAX_MESSAGE_BYTES,
             )
+            bounded.is_upgraded = True
             subscribed = False
             subscriber = _Subscriber()
             while True:
                 with trio.fail_after(_SILENCE_TIMEOUT_S):
                     message = await link.receive()
+                # The link that has been silent for the longest comes first.
+                group.proceed(stream)
+                group.wait(stream)
                 if isinstance(message, link_messages.Ping) and not subscribed:
                     subscribed = True
                     nursery.start_soon(_send_updates, runtime, link)
@@ -76,9 +95,47 @@
                 await link.send(_answer(runtime, link, message))
         except (errors.SassafrasError, trio.TooSlowError) as error:
             link_lost(peer, str(error) or "silent")
+        finally:
+            runtime.idle_deadlines.clear(stream)
+            memory.release()
         nursery.cancel_scope.cancel()
 
 
+class _LinkSends(slow_sends.SlowSends):
+    """Reserves the memory of messages that a link does not read.
+
+    A node without the newest configuration gets the whole document, and may
+    ask for it again.
+    """
+
+    def __init__(
+        self,
+        runtime: runtimes.Runtime,
+        stream: sockets.SocketStream,
+        memory: memories.Reservation,
+    ) -> None:
+        super().__init__(
+            stream,
+            runtime.connections.links,
+            runtime.idle_deadlines,
+            lambda: _SEND_TIMEOUT_S,
+            memory,
+        )
+        self._link = stream
+        self._held = memory
+
+    def send_blocked(self, left_bytes: int) -> None:
+        """See sockets.SendObserver."""
+        super().send_blocked(left_bytes)
+        if not self._held.grow(left_bytes):
+            self._link.close()
+
+    def send_ended(self) -> None:
+        """See sockets.SendObserver."""
+        super().send_ended()
+        self._held.release()
+
+
 Handler = Callable[[runtimes.Runtime, models.Message], models.Message]
 
 message_handlers: registry.Registry[Handler] = registry.Registry(
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -17,6 +17,7 @@
 from sassafras_base import supervision
 from sassafras_node import listening
 from sassafras_node.limits import exchange
+from sassafras_node.mesh import refusals
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.peers import call_session
 from sassafras_node.mesh.peers import link
@@ -82,11 +83,14 @@
             "call",
             host.call_address,
             functools.partial(call_session.serve, runtime),
+            runtime.connections.calls,
+            functools.partial(refusals.of_call_connection, runtime),
         ),
         listening.Listener(
             "link",
             host.link_address,
             functools.partial(link_session.serve, runtime),
+            runtime.connections.links,
         ),
     )
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -9,6 +9,7 @@
 from sassafras_base import errors
 from sassafras_node import drain as drains
 from sassafras_node.limits import gate as limit_gates
+from sassafras_node.mesh import connections
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import measurements
 from sassafras_node.mesh import settings as mesh_settings
@@ -104,6 +105,7 @@
         whole of every rate.
       is_leaving: Whether other nodes should send no more calls.
       measurements: Counters and latencies.
+      connections: The connections that this node accepts, and their limits.
       sub_call_failed_at: When a sub-call of the local target last failed.
       entry_changed: Set and replaced when this node's entry changes.
       relay_changed: Set and replaced when this node has read a change from the
@@ -143,8 +145,12 @@
         self.idle_deadlines = deadlines.DeadlineMonitor(
             _IDLE_DEADLINE_INTERVAL_S
         )
+        self.measurements = measurements.Measurements()
+        self.connections = connections.Connections(
+            settings.resources, clock, self.measurements
+        )
         self.target = local_target.LocalTarget(
-            settings, clock, self.call_deadlines
+            settings, clock, self.call_deadlines, self.connections.budget
         )
         self.target_tracker = target_tracking.TargetTracker(clock)
         factory = balancers.balancers.get(settings.policy.balancer)
@@ -156,7 +162,10 @@
         )
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
         self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
-        self.call_pools = call_pools.CallPools(self.call_deadlines)
+        self.call_pools = call_pools.CallPools(
+            self.call_deadlines, self.connections.budget
+        )
+        self.connections.reclaim_from(self.call_pools.close_longest_idle)
         self.downstream_levels = downstream.DownstreamLevels()
         self.processor = processor.ProcessorAdmission()
         self.running_calls: dict[str, calls.RunningCall] = {}
@@ -177,15 +186,18 @@
         self.member_changes = change_log.ChangeLog()
         self._members_update = link_messages.MembersUpdate(0, b"")
         self._members_update_key = (-1, -1)
-        self.measurements = measurements.Measurements()
         self.entry_changed = trio.Event()
         self.relay_changed = trio.Event()
         self.own_entry_removed = trio.Event()
         self.http_limits = http_server.ServerLimits()
         self.disconnects = disconnects.DisconnectMonitor()
         body_bytes = _body_bytes(settings.resources.memory_bytes)
-        self.body_budget = http_server.BodyBudget(body_bytes)
-        self.response_budget = memories.ResponseBudget(body_bytes)
+        self.body_budget = http_server.BodyBudget(
+            body_bytes, self.connections.stalled_requests
+        )
+        self.response_budget = memories.ResponseBudget(
+            body_bytes, self.connections.stalled_responses
+        )
         self.sub_call_failed_at = -math.inf
         self._incarnation = int(clock.wall() * 1000)
         self._limiter_context: limiters.LimiterContext | None = None
--- a/packages/sassafras-node/src/sassafras_node/mesh/settings.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/settings.py
@@ -84,18 +84,35 @@
     evacuation_s: float = 0.0
 
 
+# Descriptors that the platform keeps for files.
+_FILE_DESCRIPTORS = 200
+# Descriptors for what is not counted: listeners, the store, control links that
+# this node opens, connections that are being refused, and the event loop.
+_SYSTEM_DESCRIPTORS = 128
+# Of a limit that leaves less than half beside these.
+_MIN_SOCKET_SHARE = 0.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resources:
     """Resource limits of the process.
 
     Attributes:
       memory_bytes: Memory after which the process is killed.
-      descriptors: Sockets that it may open.
+      descriptors: Descriptors that it may open.
     """
 
     memory_bytes: int
     descriptors: int
 
+    @property
+    def sockets(self) -> int:
+        """Sockets for callers, targets and calls between nodes together."""
+        return max(
+            self.descriptors - _FILE_DESCRIPTORS - _SYSTEM_DESCRIPTORS,
+            int(self.descriptors * _MIN_SOCKET_SHARE),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MeshSettings:
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/announcements.py
@@ -62,6 +62,7 @@
         peer,
         handle,
         format_headers=runtime.platform.front_end.response_headers,
+        group=runtime.connections.announcements,
     )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -9,6 +9,7 @@
 from sassafras_node.mesh import settings as mesh_settings
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import cold_starts
+from sassafras_policy.admission import connections
 from sassafras_policy.admission import policies
 from sassafras_policy.mesh import targets
 from sassafras_wire.http import deadlines
@@ -56,8 +57,10 @@
         settings: mesh_settings.MeshSettings,
         clock: clocks.Clock,
         monitor: deadlines.DeadlineMonitor,
+        sockets: connections.SocketBudget | None = None,
     ) -> None:
         self._monitor = monitor
+        self._sockets = sockets
         self._settings = settings
         self._silence_limit_s = (
             _SILENT_INTERVALS * settings.bounds.announcement_interval_s
@@ -195,10 +198,11 @@
         return pool.ConnectionPool(
             self._settings.host.target_address,
             _STEP,
-            size=self._settings.resources.descriptors // 4,
+            size=self._settings.resources.sockets // 4,
             body_limit=_BODY_LIMIT,
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             monitor=self._monitor,
+            budget=self._sockets,
         )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/supervisor.py
@@ -7,6 +7,7 @@
 
 from sassafras_base import supervision
 from sassafras_node import listening
+from sassafras_node.mesh import refusals
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.targets import announcements
 
@@ -27,4 +28,6 @@
         "announcement",
         runtime.settings.host.announcement_address,
         functools.partial(announcements.serve, runtime),
+        runtime.connections.announcements,
+        functools.partial(refusals.of_http_connection, runtime),
     )
--- a/packages/sassafras-wire/src/sassafras_wire/http/pool.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/pool.py
@@ -12,6 +12,7 @@
 import trio
 
 from sassafras_base import errors
+from sassafras_policy.admission import connections
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import progress as progresses
 from sassafras_wire.http import client
@@ -53,6 +54,7 @@
         connect: Callable[[], Awaitable[C]],
         size: int,
         monitor: deadlines.DeadlineMonitor | None = None,
+        budget: connections.SocketBudget | None = None,
     ) -> None:
         """Creates an empty pool.
 
@@ -60,9 +62,11 @@
           connect: Opens a connection; raises UnreachableError.
           size: Maximum number in use; further exchanges wait.
           monitor: Ends exchanges at their deadlines; None where none has one.
+          budget: Counts the sockets of the process; None for no limit.
         """
         self._connect = connect
         self._monitor = monitor
+        self._budget = budget
         self._idle: list[C] = []
         self._permits = trio.Semaphore(size, max_value=size)
 
@@ -97,11 +101,11 @@
             while True:
                 is_new = not self._idle
                 if is_new:
-                    connection = await _before(deadline, self._connect)
+                    connection = await self._open(deadline)
                 else:
                     connection = self._idle.pop()
                     if connection.is_stale():
-                        await connection.close()
+                        await self._close(connection)
                         continue
                 stream = connection.transport
                 if monitor and isinstance(stream, sockets.SocketStream):
@@ -109,12 +113,12 @@
                 try:
                     result = await exchange(connection)
                 except errors.UnreachableError:
-                    await connection.close()
+                    await self._close(connection)
                     if is_new:
                         raise
                     continue
                 except BaseException:
-                    await connection.close()
+                    await self._close(connection)
                     raise
                 finally:
                     if monitor and isinstance(stream, sockets.SocketStream):
@@ -122,7 +126,7 @@
                 if connection.is_reusable:
                     self._idle.append(connection)
                 else:
-                    await connection.close()
+                    await self._close(connection)
                 return result
         finally:
             self._permits.release()
@@ -130,7 +134,38 @@
     async def close(self) -> None:
         """Closes the idle connections."""
         while self._idle:
-            await self._idle.pop().close()
+            await self._close(self._idle.pop())
+
+    def close_longest_idle(self) -> bool:
+        """Closes the connection that is idle for the longest, if any is."""
+        for connection in self._idle:
+            stream = connection.transport
+            if not isinstance(stream, sockets.SocketStream):
+                return False
+            self._idle.remove(connection)
+            stream.close()
+            self._count_closed()
+            return True
+        return False
+
+    async def _open(self, deadline: float) -> C:
+        if self._budget is not None and not self._budget.take():
+            raise errors.UnreachableError(
+                "pool.connect", "", "no descriptor is free"
+            )
+        try:
+            return await _before(deadline, self._connect)
+        except BaseException:
+            self._count_closed()
+            raise
+
+    async def _close(self, connection: C) -> None:
+        self._count_closed()
+        await connection.close()
+
+    def _count_closed(self) -> None:
+        if self._budget is not None:
+            self._budget.give_back()
 
 
 async def _before(deadline: float, wait: Callable[[], Awaitable[R]]) -> R:
@@ -154,6 +189,7 @@
         body_limit: int,
         connect_timeout_s: float,
         monitor: deadlines.DeadlineMonitor | None = None,
+        budget: connections.SocketBudget | None = None,
     ) -> None:
         self._pool = Pool(
             functools.partial(
@@ -165,6 +201,7 @@
             ),
             size,
             monitor,
+            budget,
         )
 
     def exchange(
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -8,15 +8,25 @@
 import trio
 
 from sassafras_base import errors
+from sassafras_policy.admission import connections
 from sassafras_policy.calls import messages
 from sassafras_wire.http import fields
 from sassafras_wire.http import plain
+from sassafras_wire.http import sockets
 
 _READ_BYTES = 64 * 1024
 # A copy of a longer body takes more memory than one system call is worth.
 _MAX_COPIED_BYTES = 64 * 1024
 _STEP = "http.receive"
 _HEADER_FRAMING_BYTES = len(": \r\n")
+# A parsed field takes about 480 bytes beside its text, a third of them for each
+# of the copies that the limit on bodies allows for.
+_FIELD_COST_BYTES = 160
+_HEAD_COPIES = 2
+# Ordinary heads cost less, and are part of the memory of the process itself.
+_UNCHARGED_HEAD_BYTES = 4096
+# A client that sends less than this makes no progress.
+_PROGRESS_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,9 +69,21 @@
 
 
 class BodyBudget:
-    """Limits the bytes of request bodies that all connections hold together."""
+    """Limits the bytes of requests that all connections hold together.
 
-    def __init__(self, limit: int) -> None:
+    These are bodies, heads that are larger than usual, and bytes that have
+    arrived and cannot be parsed yet.
+
+    Attributes:
+      stalled: Connections whose requests have not arrived completely.
+    """
+
+    def __init__(
+        self,
+        limit: int,
+        stalled: connections.StalledConnections | None = None,
+    ) -> None:
+        self.stalled = stalled or connections.StalledConnections()
         self._limit = limit
         self._held = 0
 
@@ -70,10 +92,18 @@
         """Number of bytes that are reserved."""
         return self._held
 
-    def reserve(self, size: int) -> bool:
-        """Reserves bytes; returns False when the limit does not allow it."""
-        if self._held + size > self._limit:
+    def reserve(self, size: int, holder: object = None) -> bool:
+        """Reserves bytes; returns False when the limit does not allow it.
+
+        Args:
+          size: The bytes.
+          holder: The key of the connection among those that are stalled.
+        """
+        if size > self._limit:
             return False
+        while self._held + size > self._limit:
+            if not self.stalled.close_longest_wait(holder):
+                return False
         self._held += size
         return True
 
@@ -108,6 +138,8 @@
         self._limits = limits
         self._budget = budget
         self._held = 0
+        # Those of them that have arrived and are not parsed.
+        self._unparsed = 0
         self._received = b""
         # Of the current request; None while it is a plain one.
         self._parser: h11.Connection | None = None
@@ -154,6 +186,8 @@
         self._head_only = False
         request = self._decode_plain()
         if request is not None:
+            if self._received:
+                self._charge_unparsed(len(self._received))
             return request
         parser = self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
@@ -163,12 +197,10 @@
             self._received = b""
         # Most requests have arrived whole, and need no timeout.
         if self._parse(parser):
+            self._charge_unparsed(len(parser.trailing_data[0]))
             return self._to_request()
         with trio.move_on_after(self._limits.request_timeout_s):
-            while not self._parse(parser):
-                if parser.they_are_waiting_for_100_continue:
-                    await self._send_continue(parser)
-                parser.receive_data(await self._read())
+            await self._receive_rest(parser)
             return self._to_request()
         raise RequestRefusedError(
             self.peer,
@@ -177,6 +209,51 @@
             f" {self._limits.request_timeout_s:.0f} s",
         )
 
+    async def _receive_rest(self, parser: h11.Connection) -> None:
+        """Receives what is missing of a request that did not arrive whole.
+
+        Its connection gives way where others need the memory.
+        """
+        progress_bytes = 0
+        self._charge_unparsed(len(parser.trailing_data[0]))
+        self._mark_stalled()
+        try:
+            while True:
+                if parser.they_are_waiting_for_100_continue:
+                    await self._send_continue(parser)
+                data = await self._read()
+                parser.receive_data(data)
+                progress_bytes += len(data)
+                if progress_bytes >= _PROGRESS_BYTES:
+                    progress_bytes = 0
+                    self._mark_stalled()
+                is_complete = self._parse(parser)
+                self._charge_unparsed(len(parser.trailing_data[0]))
+                if is_complete:
+                    return
+        finally:
+            if self._budget is not None:
+                self._budget.stalled.remove(self)
+
+    def _mark_stalled(self) -> None:
+        if self._budget is not None:
+            self._budget.stalled.add(self, self._abandon)
+
+    def _abandon(self) -> None:
+        """Closes the connection and releases what its request holds."""
+        self.release_body()
+        if isinstance(self._stream, sockets.SocketStream):
+            self._stream.close()
+
+    def _charge_unparsed(self, size: int) -> None:
+        """Reserves the bytes that wait to be parsed, and only those."""
+        if size > self._unparsed:
+            self._reserve(size - self._unparsed)
+        elif size < self._unparsed and self._budget is not None:
+            self._budget.release(self._unparsed - size)
+            self._held -= self._unparsed - size
+        self._unparsed = size
+
     async def send(
         self, response: messages.CallResponse, *, close: bool = False
     ) -> None:
@@ -214,6 +291,7 @@
             or body_bytes > self._limits.body_bytes
         ):
             return None
+        self._charge_head(framing.body_start, len(head.headers))
         body = b""
         if body_bytes:
             self._reserve(body_bytes)
@@ -263,10 +341,15 @@
         return data
 
     def release_body(self) -> None:
-        """Releases the bytes reserved for the body of the last request."""
+        """Releases the last request and the bytes reserved for it."""
         if self._budget is not None and self._held:
             self._budget.release(self._held)
             self._held = 0
+        self._unparsed = 0
+        if self._head is not None:
+            self._head = None
+            self._headers = ()
+            self._body = bytearray()
 
     async def close(self) -> None:
         """Closes the stream at once."""
@@ -316,7 +399,7 @@
     def _reserve(self, size: int) -> None:
         if self._budget is None:
             return
-        if not self._budget.reserve(size):
+        if not self._budget.reserve(size, self):
             raise RequestRefusedError(
                 self.peer,
                 503,
@@ -324,6 +407,12 @@
             )
         self._held += size
 
+    def _charge_head(self, size: int, field_count: int) -> None:
+        """Reserves the memory of a head that is larger than usual."""
+        cost = _HEAD_COPIES * size + _FIELD_COST_BYTES * field_count
+        if cost > _UNCHARGED_HEAD_BYTES:
+            self._reserve(cost)
+
     def _read_headers(self, head: h11.Request) -> messages.Headers:
         """Returns the header fields of a request that is acceptable.
 
@@ -347,6 +436,7 @@
                 431,
                 f"the header block is over {self._limits.header_bytes} bytes",
             )
+        self._charge_head(size, len(headers))
         names = [name for name, _ in headers]
         lengths = [value for name, value in headers if name == "content-length"]
         # The parser accepts only digits as a length.
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -10,6 +10,7 @@
 import select
 import socket
 from typing import Any
+from typing import Protocol
 from typing import Self
 
 import trio
@@ -43,6 +44,17 @@
 )
 
 
+# The process or its host has no descriptors or memory for a connection.
+_RESOURCE_ERRORS = frozenset(
+    [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
+)
+
+
+def is_out_of_resources(error: OSError) -> bool:
+    """Returns whether `accept` may succeed after other sockets are closed."""
+    return error.errno in _RESOURCE_ERRORS
+
+
 def is_orderly_end(failure: trio.BrokenResourceError) -> bool:
     """Returns whether sending failed after the other side had ended its output.
 
@@ -54,12 +66,31 @@
     return isinstance(cause, OSError) and cause.errno == errno.EPIPE
 
 
+class SendObserver(Protocol):
+    """Learns when the other side does not read what is sent to it."""
+
+    def send_blocked(self, left_bytes: int) -> None:
+        """A send has to wait for the other side."""
+        ...
+
+    def send_progressed(self, size: int) -> None:
+        """The socket has accepted more bytes of that send."""
+        ...
+
+    def send_ended(self) -> None:
+        """That send is complete, or the connection is lost."""
+        ...
+
+
 class SocketStream(trio.abc.Stream):
     """A connected TCP socket.
 
     A method yields to the scheduler only where the socket would block. Reading
     waits first, as data rarely has arrived when a task asks for it; only the
     first read of an accepted connection is tried at once.
+
+    Attributes:
+      send_observer: Told of sends that have to wait; None for nobody.
     """
 
     def __init__(
@@ -75,6 +106,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = sock
         self._reads_at_once = is_accepted
+        self.send_observer: SendObserver | None = None
         # By the awaited event; created when first used.
         self._polls: dict[int, select.poll] = {}
 
@@ -148,9 +180,23 @@
         if sent == len(data):
             return
         with memoryview(data) as view:
-            while sent < len(view):
+            await self._send_rest(view[sent:])
+
+    async def _send_rest(self, rest: memoryview) -> None:
+        observer = self.send_observer
+        if observer is not None:
+            observer.send_blocked(len(rest))
+        try:
+            while rest:
                 await self.wait_writable()
-                sent += self.send_now(view[sent:])
+                size = self.send_now(rest)
+                rest = rest[size:]
+                if observer is not None:
+                    observer.send_progressed(size)
+        finally:
+            rest.release()
+            if observer is not None:
+                observer.send_ended()
 
     async def wait_send_all_might_not_block(self) -> None:
         """See trio.abc.SendStream."""
@@ -247,7 +293,8 @@
 
         Raises:
           ClosedResourceError: This side has closed the listener.
-          OSError: The process cannot take more connections.
+          OSError: The process cannot take more connections; see
+            `is_out_of_resources`.
         """
         accepted: list[tuple[SocketStream, str]] = []
         while not accepted:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/frames.py
@@ -20,6 +20,11 @@
 _MAX_COPIED_BYTES = 64 * 1024
 
 
+def encode(content: bytes) -> bytes:
+    """Returns a message as it is sent."""
+    return _LENGTH.pack(len(content)) + content
+
+
 class FrameStream:
     """Sends and receives messages, one at a time in each direction.
 
@@ -107,6 +112,10 @@
             )
         return int(length)
 
+    def has_content(self, length: int) -> bool:
+        """Returns whether a message of this size has arrived completely."""
+        return len(self._buffer) >= _LENGTH.size + length
+
     async def receive_content(self, length: int) -> bytes | None:
         """Returns the message of this size, or None at the end."""
         end = _LENGTH.size + length
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -274,13 +274,22 @@
     address: str,
     timeout_s: float,
     traffic: ControlTraffic | None = None,
+    max_bytes: int = codec.MAX_FRAME_BYTES,
 ) -> Link:
     """Upgrades an accepted stream, without authentication.
 
+    Args:
+      nursery: Runs the websocket's reader until the link is closed.
+      stream: The connection.
+      address: Address of the peer.
+      timeout_s: Timeout of the upgrade.
+      traffic: Where control messages are counted.
+      max_bytes: Maximum size of a received message.
+
     Raises:
       ProtocolError: The peer does not use the peer protocol.
     """
-    protocol = websocket_server.ServerProtocol(max_size=codec.MAX_FRAME_BYTES)
+    protocol = websocket_server.ServerProtocol(max_size=max_bytes)
     connection = trio_server.ServerConnection(
         nursery,
         stream,
