Spare function calls in the bounds of requests

The test for a large head is made in place, and the waits of a call are recorded only if it has not arrived whole.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -92,13 +92,15 @@
         if not await connection.discard(length):
             return False
         return await _send_response(runtime, connection, _out_of_memory())
-    reserved = _CallBytes(runtime, stream, length)
+    # Most calls have arrived whole.
+    slow: _SlowCall | None = None
+    if not connection.has_content(length):
+        slow = _SlowCall(runtime, stream, length)
     runtime.drain.enter()
     try:
-        if not connection.has_content(length):
-            runtime.body_budget.stalled.add(stream, reserved.abandon)
         message = await _receive_call(connection, length)
-        runtime.body_budget.stalled.remove(stream)
+        if slow is not None:
+            slow.end_wait()
         runtime.idle_deadlines.clear(stream)
         group.proceed(stream)
         # A full node reads a call long after it has arrived.
@@ -110,13 +112,14 @@
         return await _send_response(runtime, connection, response)
     finally:
         memory.release()
-        runtime.body_budget.stalled.remove(stream)
-        reserved.release()
+        if slow is not None:
+            length = slow.end_wait()
+        runtime.body_budget.release(length)
         runtime.drain.leave()
 
 
-class _CallBytes:
-    """The memory that is reserved for one call."""
+class _SlowCall:
+    """A call that has not arrived whole; it gives way to other requests."""
 
     def __init__(
         self,
@@ -124,18 +127,20 @@
         stream: sockets.SocketStream,
         length: int,
     ) -> None:
-        self._runtime = runtime
+        self._budget = runtime.body_budget
         self._stream = stream
         self._held = length
+        self._budget.stalled.add(stream, self._abandon)
 
-    def release(self) -> None:
-        """Releases it; again without effect."""
-        self._runtime.body_budget.release(self._held)
-        self._held = 0
+    def end_wait(self) -> int:
+        """Ends the wait for the call; returns the bytes that it still holds."""
+        self._budget.stalled.remove(self._stream)
+        return self._held
 
-    def abandon(self) -> None:
-        """Closes the connection on which the call has not arrived."""
-        self.release()
+    def _abandon(self) -> None:
+        """Closes the connection and releases the memory for the call."""
+        self._budget.release(self._held)
+        self._held = 0
         self._stream.close()
 
 
--- a/packages/sassafras-wire/src/sassafras_wire/http/server.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/server.py
@@ -291,7 +291,13 @@
             or body_bytes > self._limits.body_bytes
         ):
             return None
-        self._charge_head(framing.body_start, len(head.headers))
+        # The test of `_charge_head`, without a function call for most heads.
+        if (
+            _HEAD_COPIES * framing.body_start
+            + _FIELD_COST_BYTES * len(head.headers)
+            > _UNCHARGED_HEAD_BYTES
+        ):
+            self._charge_head(framing.body_start, len(head.headers))
         body = b""
         if body_bytes:
             self._reserve(body_bytes)
