Report connections that are closed or refused, and bound links' documents

A stranger on the link address that names an old configuration gets the whole document with each ping, and the library keeps what could not be sent until the next garbage collection. At most eight links get the document at once, what a link does not read is reserved, and the library's error is released.

--- a/packages/sassafras-node/src/sassafras_node/http_session.py
+++ b/packages/sassafras-node/src/sassafras_node/http_session.py
@@ -7,6 +7,7 @@
 import trio
 
 from sassafras_base import clock as clocks
+from sassafras_base import events
 from sassafras_node import drain as drains
 from sassafras_node import slow_sends
 from sassafras_policy.admission import connections
@@ -25,6 +26,15 @@
 }
 
 
+@events.declare(104, "INFO")
+def request_refused(peer: str, status: int, reason: str) -> str:
+    """A request that breaks HTTP/1.1 or a limit was refused; it has not run.
+
+    Its connection is closed.
+    """
+    return f"request from {peer} refused with {status}: {reason}"
+
+
 class SessionRuntime(Protocol):
     """Parts of the node that a session uses."""
 
@@ -137,6 +147,8 @@
         if memory is not None:
             memory.release()
     if refusal is not None:
+        request_refused(peer, refusal.status, str(refusal.reason))
+        group.on_refused()
         await _refuse(connection, refusal)
         del connection
         group.wait(stream)
--- a/packages/sassafras-node/src/sassafras_node/listening.py
+++ b/packages/sassafras-node/src/sassafras_node/listening.py
@@ -159,4 +159,7 @@
             session_failed(self.name, peer, repr(error))
         finally:
             stream.close()
+            # The observer refers to the stream, and would keep its memory
+            # until the next garbage collection.
+            stream.send_observer = None
             self._group.remove(stream)
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -64,6 +64,10 @@
                 "Bytes of responses held.",
                 runtime.response_budget.held_bytes,
             ),
+            "sockets": (
+                "Sockets of callers, nodes and the target that are open.",
+                runtime.connections.budget.open,
+            ),
             "target_serving": (
                 "1 while the target beside the node takes calls.",
                 int(runtime.target.is_serving),
--- a/packages/sassafras-node/src/sassafras_node/mesh/connections.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/connections.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 import functools
 
+import trio
+
 from sassafras_base import clock as clocks
 from sassafras_base import events
 from sassafras_node.mesh import measurements as mesh_measurements
@@ -25,18 +27,22 @@
 # takes 7 KB; one whose request runs takes more.
 _CALLER_MEMORY_SHARE = 1 / 8
 _CALLER_BYTES = 16 * 1024
+# Each holds several copies of the document. One that is not read ends within two
+# seconds; the others wait for it.
+_DOCUMENT_SENDS = 8
 # Clients that keep reading or sending make progress more often than this.
 _MIN_STALL_S = 0.1
 
 
 @events.declare(824, "WARNING")
 def connection_closed(kind: str) -> str:
-    """A connection that waited for its client was closed to make room.
+    """A connection that waited for its client was closed.
 
     `kind` is the listener whose connections, or of whose process the
     descriptors, were all in use; `request-memory` for a request that was not
     complete, and `response-memory` for a response that was not read, when
-    others needed the memory.
+    others needed the memory; `unread` for a client that has read nothing of its
+    response for the idle timeout.
     """
     return f"closed a connection that waited for its client: {kind}"
 
@@ -52,6 +58,7 @@
       metrics: Connections that read metrics.
       calls: Connections of other nodes for calls.
       links: Control links that other nodes have opened.
+      document_sends: Acquired while a link gets the whole configuration.
       stalled_requests: Connections whose requests have not arrived completely.
       stalled_responses: Connections whose responses are not read.
     """
@@ -87,6 +94,7 @@
         self.links = self._make_group(
             "link", max(_MIN_CONNECTIONS, int(limit * _LINK_SHARE))
         )
+        self.document_sends = trio.Semaphore(_DOCUMENT_SENDS)
         self.stalled_requests = self._make_stalled("request-memory", clock)
         self.stalled_responses = self._make_stalled("response-memory", clock)
 
@@ -106,6 +114,7 @@
         group.on_refused = functools.partial(
             self._measurements.count, "connections_refused", name
         )
+        group.on_unread = functools.partial(self._report_closed, "unread")
         return group
 
     def _make_stalled(
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -17,7 +17,8 @@
     "calls": "Calls of other nodes, by their end.",
     "withheld_calls": "Calls not sent to the target beside, by the reason.",
     "connections_closed": "Connections closed to make room, by what was full.",
-    "connections_refused": "Connections refused, by listener.",
+    "connections_refused": "Connections refused or ended for a request that"
+    " breaks HTTP/1.1 or a limit, by listener.",
 }
 # Latencies of a service that are counted before the histogram takes them, which
 # makes six function calls for each.
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -63,6 +63,7 @@
     memory = runtime.response_budget.open()
     _LinkSends(runtime, stream, memory)
     bounded = bounded_stream.BoundedStream(stream)
+    link: links.Link | None = None
     async with trio.open_nursery() as nursery:
         try:
             link = await links.upgrade(
@@ -92,13 +93,15 @@
                     ):
                         subscriber.is_relayed = True
                         nursery.start_soon(_relay, runtime, link, subscriber)
-                await link.send(_answer(runtime, link, message))
+                await _send_answer(runtime, link, message)
         except (errors.SassafrasError, trio.TooSlowError) as error:
             link_lost(peer, str(error) or "silent")
         finally:
             runtime.idle_deadlines.clear(stream)
             memory.release()
         nursery.cancel_scope.cancel()
+    if link is not None:
+        link.forget_failure()
 
 
 class _LinkSends(slow_sends.SlowSends):
@@ -124,10 +127,10 @@
         self._link = stream
         self._held = memory
 
-    def send_blocked(self, left_bytes: int) -> None:
+    def send_blocked(self, size: int) -> None:
         """See sockets.SendObserver."""
-        super().send_blocked(left_bytes)
-        if not self._held.grow(left_bytes):
+        super().send_blocked(size)
+        if not self._held.grow(size):
             self._link.close()
 
     def send_ended(self) -> None:
@@ -136,6 +139,20 @@
         self._held.release()
 
 
+async def _send_answer(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> None:
+    """Answers a message; few links get the whole configuration at once."""
+    if (
+        isinstance(message, link_messages.Ping)
+        and message.configuration_version < runtime.version
+    ):
+        async with runtime.connections.document_sends:
+            await link.send(_answer(runtime, link, message))
+    else:
+        await link.send(_answer(runtime, link, message))
+
+
 Handler = Callable[[runtimes.Runtime, models.Message], models.Message]
 
 message_handlers: registry.Registry[Handler] = registry.Registry(
--- a/packages/sassafras-node/src/sassafras_node/slow_sends.py
+++ b/packages/sassafras-node/src/sassafras_node/slow_sends.py
@@ -1,6 +1,7 @@
 """Bounds what clients hold that leave their responses unread."""
 
 from collections.abc import Callable
+import math
 
 import trio
 
@@ -44,11 +45,12 @@
         self._timeout_s = timeout_s
         self._memory = memory
         self._progress_bytes = 0
+        self._deadline = math.inf
         stream.send_observer = self
 
-    def send_blocked(self, left_bytes: int) -> None:
+    def send_blocked(self, size: int) -> None:
         """See sockets.SendObserver."""
-        del left_bytes
+        del size
         self._progress_bytes = 0
         self._group.wait(self._stream)
         self._set_deadline()
@@ -71,12 +73,17 @@
     def send_ended(self) -> None:
         """See sockets.SendObserver."""
         self._monitor.clear(self._stream)
+        if self._stream.fileno() < 0 and (
+            trio.current_time() >= self._deadline
+        ):
+            self._group.on_unread()
         self._group.proceed(self._stream)
         if self._memory is not None:
             self._memory.stalled.remove(self)
 
     def _set_deadline(self) -> None:
-        self._monitor.set(self._stream, trio.current_time() + self._timeout_s())
+        self._deadline = trio.current_time() + self._timeout_s()
+        self._monitor.set(self._stream, self._deadline)
 
     def _abandon(self) -> None:
         """Closes the connection and releases the memory of its response."""
--- a/packages/sassafras-policy/src/sassafras_policy/admission/connections.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/connections.py
@@ -59,6 +59,8 @@
     Attributes:
       on_closed: Called for each connection that was closed for another.
       on_refused: Called for each connection that was refused.
+      on_unread: Called for each connection whose client read nothing for too
+        long.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self._waiting: dict[Closable, None] = {}
         self.on_closed: Report = _ignore
         self.on_refused: Report = _ignore
+        self.on_unread: Report = _ignore
 
     @property
     def count(self) -> int:
--- a/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/sockets.py
@@ -69,8 +69,8 @@
 class SendObserver(Protocol):
     """Learns when the other side does not read what is sent to it."""
 
-    def send_blocked(self, left_bytes: int) -> None:
-        """A send has to wait for the other side."""
+    def send_blocked(self, size: int) -> None:
+        """A send of this many bytes has to wait for the other side."""
         ...
 
     def send_progressed(self, size: int) -> None:
@@ -180,19 +180,19 @@
         if sent == len(data):
             return
         with memoryview(data) as view:
-            await self._send_rest(view[sent:])
+            await self._send_rest(view[sent:], len(view))
 
-    async def _send_rest(self, rest: memoryview) -> None:
+    async def _send_rest(self, rest: memoryview, size: int) -> None:
         observer = self.send_observer
         if observer is not None:
-            observer.send_blocked(len(rest))
+            observer.send_blocked(size)
         try:
             while rest:
                 await self.wait_writable()
-                size = self.send_now(rest)
-                rest = rest[size:]
+                sent = self.send_now(rest)
+                rest = rest[sent:]
                 if observer is not None:
-                    observer.send_progressed(size)
+                    observer.send_progressed(sent)
         finally:
             rest.release()
             if observer is not None:
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -154,6 +154,15 @@
             scope.shield = True
             await self._connection.aclose()
 
+    def forget_failure(self) -> None:
+        """Releases the memory of a message that could not be sent.
+
+        The library keeps the error of a connection that has ended, whose
+        traceback holds the message and the connection itself until the next
+        garbage collection.
+        """
+        self._connection.connection_exc = None
+
     async def abort(self) -> None:
         """Closes the link at once, without a closing handshake."""
         await trio.aclose_forcefully(self._connection.stream)
--- a/tests/common/crowds.py
+++ b/tests/common/crowds.py
@@ -211,9 +211,25 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, *, idle_timeout_ms: int = 15_000, **limits: Limits
+    folder: pathlib.Path,
+    *,
+    idle_timeout_ms: int = 15_000,
+    document_routes: int = 0,
+    **limits: Limits,
 ):
-    """Runs one machine for each service, with the limits of its node."""
+    """Runs one machine for each service, with the limits of its node.
+
+    Args:
+      folder: Folder for the files of the nodes.
+      idle_timeout_ms: Timeout of the configuration for idle clients.
+      document_routes: Further routes, which make the document larger.
+      **limits: Limits of the node beside each service.
+    """
+    unused = documents.RouteRow("unused", HOST, "/unused/", "unused")
+    more = [
+        dataclasses.replace(unused, name=f"unused-{n}", prefix=f"/unused/{n}/")
+        for n in range(document_routes)
+    ]
     site = Site()
     store = store_standin.MetadataStore()
     store_address = launcher.free_address()
@@ -221,7 +237,7 @@
         "op/config",
         documents.configuration(
             1,
-            ROUTES,
+            (*ROUTES, *more),
             (documents.TenantRow("crowd", (KEY,)),),
             idle_timeout_ms=idle_timeout_ms,
         ),
--- a/tests/processes/test_hostile_requests.py
+++ b/tests/processes/test_hostile_requests.py
@@ -4,8 +4,11 @@
 
 import pytest
 import trio
+from websockets import frames
 
 from common import crowds
+from sassafras_wire.mesh import link_messages
+from sassafras_wire.peer import codec
 
 pytestmark = pytest.mark.processes
 
@@ -90,6 +93,17 @@
         await _check(site, "Link", lambda: data, clients=60)
 
 
+async def test_unread_updates_on_links(tmp_path):
+    """Guards against strangers that ask for the document and do not read it."""
+    ping = link_messages.Ping(number=1, configuration_version=0)
+    frame = frames.Frame(frames.Opcode.BINARY, codec.encode(ping))
+    data = _UPGRADE + frame.serialize(mask=True) * 40
+    async with crowds.running(
+        tmp_path, document_routes=4000, front=_LIMITS, back=_LIMITS
+    ) as site:
+        await _check(site, "Link", lambda: data, clients=60)
+
+
 async def test_unfinished_calls(tmp_path):
     """Guards against calls of strangers that reserve the memory of others."""
     data = struct.pack("!I", 2_000_000) + b"x" * 1000
--- a/tests/processes/test_slow_readers.py
+++ b/tests/processes/test_slow_readers.py
@@ -121,6 +121,8 @@
             return await site.metric("front", "response_bytes") == 0
 
         await waiting.until(has_ended, "the unread response ends")
+        closed = 'connections_closed_total{kind="unread"}'
+        assert await site.metric("front", closed) == 1
         await site.check_ordinary("front", "front")
 
 
