--- a/packages/sassafras-node/src/sassafras_node/mesh/connections.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/connections.py
@@ -27,8 +27,8 @@
 # takes 7 KB; one whose request runs takes more.
 _CALLER_MEMORY_SHARE = 1 / 8
 _CALLER_BYTES = 16 * 1024
-# Each holds several copies of the document. One that is not read ends within two
-# seconds; the others wait for it.
+# Each holds several copies of the document. One that is not read ends within
+# two seconds; the others wait for it.
 _DOCUMENT_SENDS = 8
 # Clients that keep reading or sending make progress more often than this.
 _MIN_STALL_S = 0.1
--- a/tests/processes/test_hostile_requests.py
+++ b/tests/processes/test_hostile_requests.py
@@ -7,6 +7,7 @@
 from websockets import frames
 
 from common import crowds
+from common import waiting
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import codec
 
@@ -161,6 +162,30 @@
         site.check_memory()
 
 
+@pytest.mark.parametrize("part", ["head", "body"])
+async def test_requests_slower_than_any_deadline_end(tmp_path, part):
+    """Guards against requests that arrive a byte at a time without end."""
+    async with (
+        crowds.running(tmp_path, idle_timeout_ms=1000, front=_LIMITS) as site,
+        crowds.Crowd() as crowd,
+    ):
+        before = site.open_descriptors("front")
+        streams = await crowd.connect(site.address("front", "Outbound"), 50)
+        head = site.request("/front/now/1", "Content-Length: 9999")
+        if part == "head":
+            head = head[:-2] + b"X: "
+        await crowd.send_all(streams, lambda: head)
+
+        async def have_ended() -> bool:
+            await crowd.send_all(streams, lambda: b"y")
+            # Connections of the node to its target may be open.
+            return site.open_descriptors("front") < before + 10
+
+        await waiting.until(have_ended, "the node has closed the connections")
+        await site.check_ordinary("front", "front")
+        site.check_memory()
+
+
 async def test_pipelined_requests_whose_responses_are_not_read(tmp_path):
     """Guards against requests that wait in a connection outside all limits."""
     async with crowds.running(tmp_path, front=_LIMITS, back=_LIMITS) as site:
