Merge the bounds on what clients hold

The direct decoders of responses and answers leave statuses above 599 to the models and h11, which reject them.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -3,6 +3,7 @@
 from sassafras_node import http_session
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.reports import exposition
+from sassafras_policy.admission import connections
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_wire.http import sockets
@@ -11,7 +12,10 @@
 
 
 async def serve(
-    runtime: runtimes.Runtime, stream: sockets.SocketStream, peer: str
+    runtime: runtimes.Runtime,
+    group: connections.ConnectionGroup,
+    stream: sockets.SocketStream,
+    peer: str,
 ) -> None:
     """Serves requests until the client disconnects."""
 
@@ -33,6 +37,7 @@
         peer,
         handle,
         format_headers=runtime.platform.front_end.response_headers,
+        group=group,
     )
 
 
@@ -67,6 +72,10 @@
                 "Bytes of responses held.",
                 runtime.response_budget.held_bytes,
             ),
+            "sockets": (
+                "Sockets of callers, nodes and the target that are open.",
+                runtime.connections.budget.open,
+            ),
             "target_serving": (
                 "1 while the target beside the node takes calls.",
                 int(runtime.target.is_serving),
--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/session.py
@@ -20,4 +20,5 @@
         functools.partial(entry.serve, runtime, memory=memory),
         format_headers=runtime.platform.front_end.response_headers,
         memory=memory,
+        group=runtime.connections.callers,
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/call_session.py
@@ -2,6 +2,7 @@
 
 from sassafras_base import errors
 from sassafras_base import events
+from sassafras_node import slow_sends
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import local
 from sassafras_policy.admission import memory as memories
@@ -49,9 +50,17 @@
     connection = frames.FrameStream(
         stream, peer, call_connection.MAX_MESSAGE_BYTES
     )
+    memory = runtime.response_budget.open()
+    slow_sends.SlowSends(
+        stream,
+        runtime.connections.calls,
+        runtime.idle_deadlines,
+        lambda: call_connection.IDLE_TIMEOUT_S,
+        memory,
+    )
     try:
         with runtime.disconnects.watch(stream) as watch:
-            while await _serve_next(runtime, stream, connection, watch):
+            while await _serve_next(runtime, stream, connection, watch, memory):
                 pass
     except (errors.ConnectionLostError, errors.UnreachableError):
         # The other node has closed it, so its calls have ended there.
@@ -67,11 +76,14 @@
     stream: sockets.SocketStream,
     connection: frames.FrameStream,
     watch: disconnects.Watch,
+    memory: memories.Reservation,
 ) -> bool:
     """Serves one call; returns False when no other call may follow."""
     runtime.idle_deadlines.set(
         stream, runtime.clock.now() + call_connection.IDLE_TIMEOUT_S
     )
+    group = runtime.connections.calls
+    group.wait(stream)
     length = await connection.receive_length()
     if length is None:
         return False
@@ -79,14 +91,20 @@
         if not await connection.discard(length):
             return False
         return await _send_response(runtime, connection, _out_of_memory())
-    memory = runtime.response_budget.open()
+    # Most calls have arrived whole.
+    slow: _SlowCall | None = None
+    if not connection.has_content(length):
+        slow = _SlowCall(runtime, stream, length)
     runtime.drain.enter()
     try:
         content = await connection.receive_content(length)
         if content is None:
             return False
         message = call_messages.decode_call(content, connection.peer)
+        if slow is not None:
+            slow.end_wait()
         runtime.idle_deadlines.clear(stream)
+        group.proceed(stream)
         # A full node reads a call long after it has arrived.
         if stream.is_disconnected():
             return False
@@ -96,10 +114,38 @@
         return await _send_response(runtime, connection, response)
     finally:
         memory.release()
+        if slow is not None:
+            length = slow.end_wait()
         runtime.body_budget.release(length)
         runtime.drain.leave()
 
 
+class _SlowCall:
+    """A call that has not arrived whole; it gives way to other requests."""
+
+    def __init__(
+        self,
+        runtime: runtimes.Runtime,
+        stream: sockets.SocketStream,
+        length: int,
+    ) -> None:
+        self._budget = runtime.body_budget
+        self._stream = stream
+        self._held = length
+        self._budget.stalled.add(stream, self._abandon)
+
+    def end_wait(self) -> int:
+        """Ends the wait for the call; returns the bytes that it still holds."""
+        self._budget.stalled.remove(self._stream)
+        return self._held
+
+    def _abandon(self) -> None:
+        """Closes the connection and releases the memory for the call."""
+        self._budget.release(self._held)
+        self._held = 0
+        self._stream.close()
+
+
 async def _send_response(
     runtime: runtimes.Runtime,
     connection: frames.FrameStream,
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -8,11 +8,14 @@
 from sassafras_base import errors
 from sassafras_base import events
 from sassafras_base import registry
+from sassafras_node import slow_sends
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.store import eras as store_eras
+from sassafras_policy.admission import memory as memories
 from sassafras_policy.mesh import eras
 from sassafras_wire.http import sockets
 from sassafras_wire.mesh import link_messages
+from sassafras_wire.peer import bounded_stream
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
@@ -21,6 +24,10 @@
 # Links for updates carry regular pings, and the other side closes idle links
 # for token requests, so a longer silence means a lost link.
 _SILENCE_TIMEOUT_S = 40.0
+# Pings and requests for tokens have fewer than a thousand bytes.
+_MAX_MESSAGE_BYTES = 16 * 1024
+# The other side waits less long for the response to a ping.
+_SEND_TIMEOUT_S = 2.0
 _NO_MEMBERS = link_messages.MembersUpdate(0, b"")
 
 
@@ -54,16 +61,29 @@
     A node of the same zone that takes this one for a reader of the store gets
     its changes as well.
     """
+    group = runtime.connections.links
+    memory = runtime.response_budget.open()
+    _LinkSends(runtime, stream, memory)
+    bounded = bounded_stream.BoundedStream(stream)
+    link: links.Link | None = None
     async with trio.open_nursery() as nursery:
         try:
             link = await links.upgrade(
-                nursery, stream, peer, _UPGRADE_TIMEOUT_S
+                nursery,
+                bounded,
+                peer,
+                _UPGRADE_TIMEOUT_S,
+                max_bytes=_MAX_MESSAGE_BYTES,
             )
+            bounded.is_upgraded = True
             subscribed = False
             subscriber = _Subscriber()
             while True:
                 with trio.fail_after(_SILENCE_TIMEOUT_S):
                     message = await link.receive()
+                # The link that has been silent for the longest comes first.
+                group.proceed(stream)
+                group.wait(stream)
                 if isinstance(message, link_messages.Ping) and not subscribed:
                     subscribed = True
                     nursery.start_soon(_send_updates, runtime, link)
@@ -75,10 +95,64 @@
                     ):
                         subscriber.is_relayed = True
                         nursery.start_soon(_relay, runtime, link, subscriber)
-                await link.send(_answer(runtime, link, message))
+                await _send_answer(runtime, link, message)
         except (errors.SassafrasError, trio.TooSlowError) as error:
             link_lost(peer, str(error) or "silent")
+        finally:
+            runtime.idle_deadlines.clear(stream)
+            memory.release()
         nursery.cancel_scope.cancel()
+    if link is not None:
+        link.forget_failure()
+
+
+class _LinkSends(slow_sends.SlowSends):
+    """Reserves the memory of messages that a link does not read.
+
+    A node without the newest configuration gets the whole document, and may
+    ask for it again.
+    """
+
+    def __init__(
+        self,
+        runtime: runtimes.Runtime,
+        stream: sockets.SocketStream,
+        memory: memories.Reservation,
+    ) -> None:
+        super().__init__(
+            stream,
+            runtime.connections.links,
+            runtime.idle_deadlines,
+            lambda: _SEND_TIMEOUT_S,
+            memory,
+        )
+        self._link = stream
+        self._held = memory
+
+    def send_blocked(self, size: int) -> None:
+        """See sockets.SendObserver."""
+        super().send_blocked(size)
+        if not self._held.grow(size):
+            self._link.close()
+
+    def send_ended(self) -> None:
+        """See sockets.SendObserver."""
+        super().send_ended()
+        self._held.release()
+
+
+async def _send_answer(
+    runtime: runtimes.Runtime, link: links.Link, message: models.Message
+) -> None:
+    """Answers a message; few links get the whole configuration at once."""
+    if (
+        isinstance(message, link_messages.Ping)
+        and message.configuration_version < runtime.version
+    ):
+        async with runtime.connections.document_sends:
+            await link.send(_answer(runtime, link, message))
+    else:
+        await link.send(_answer(runtime, link, message))
 
 
 Handler = Callable[[runtimes.Runtime, models.Message], models.Message]
--- a/packages/sassafras-wire/src/sassafras_wire/http/plain.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/plain.py
@@ -25,7 +25,7 @@
     rf"({_TOKEN}) (/[\x21-\x7e]*+) HTTP/1\.1\r\n{_FIELDS}"
 )
 _response_head = re.compile(
-    rf"HTTP/1\.1 ([2-9][0-9]{{2}})(?: {_TEXT})?\r\n{_FIELDS}"
+    rf"HTTP/1\.1 ([2-5][0-9]{{2}})(?: {_TEXT})?\r\n{_FIELDS}"
 )
 _length = re.compile(r"[0-9]{1,18}")
 _lower_token = re.compile(r"[-!#$%&'*+.^_`|~0-9a-z]+")
@@ -197,7 +197,7 @@
       length: Size of the body.
       is_last: Whether the connection closes after it.
     """
-    if status in _UNUSUAL_STATUSES or not 200 <= status <= 999:
+    if status in _UNUSUAL_STATUSES or not 200 <= status <= 599:
         return None
     fields = _encode_fields(headers, _UNUSUAL_RESPONSE_FIELDS)
     if fields is None:
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/plain_calls.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/plain_calls.py
@@ -151,6 +151,7 @@
     )
     if (
         type(answer.status) is not int
+        or not 100 <= answer.status <= 599
         or type(answer.body) is not bytes
         or type(answer.load) is not float
         or type(answer.sub_call_failed) is not bool
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -154,6 +154,15 @@
             scope.shield = True
             await self._connection.aclose()
 
+    def forget_failure(self) -> None:
+        """Releases the memory of a message that could not be sent.
+
+        The library keeps the error of a connection that has ended, whose
+        traceback holds the message and the connection itself until the next
+        garbage collection.
+        """
+        self._connection.connection_exc = None
+
     async def abort(self) -> None:
         """Closes the link at once, without a closing handshake."""
         await trio.aclose_forcefully(self._connection.stream)
@@ -274,13 +283,22 @@
     address: str,
     timeout_s: float,
     traffic: ControlTraffic | None = None,
+    max_bytes: int = codec.MAX_FRAME_BYTES,
 ) -> Link:
     """Upgrades an accepted stream, without authentication.
 
+    Args:
+      nursery: Runs the websocket's reader until the link is closed.
+      stream: The connection.
+      address: Address of the peer.
+      timeout_s: Timeout of the upgrade.
+      traffic: Where control messages are counted.
+      max_bytes: Maximum size of a received message.
+
     Raises:
       ProtocolError: The peer does not use the peer protocol.
     """
-    protocol = websocket_server.ServerProtocol(max_size=codec.MAX_FRAME_BYTES)
+    protocol = websocket_server.ServerProtocol(max_size=max_bytes)
     connection = trio_server.ServerConnection(
         nursery,
         stream,
