Place calls by ability, and find the pace of starting targets

The power of two choices compares loads that are old or unknown, so targets that are slow, slowed down or at their last slots get as many calls as the others. A target that starts gets a share by fixed time, from every node on its own.

The node beside a target learns the time of calls by route, with the stated slowdown where that proves true, and sends it and its limit with each answer. The balancer `expected-wait` draws targets by limit and speed and compares expected waits.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -93,6 +93,14 @@
                 "Availability zones whose targets get no calls.",
                 len(runtime.evacuations.zones),
             ),
+            "target_slots": (
+                "Calls that the target announced that it can run at once.",
+                gate.slots,
+            ),
+            "target_work_ms": (
+                "Expected time of a call at the target, of the slowest route.",
+                1000 * runtime.target.performance.longest_s,
+            ),
             "admission_level": (
                 "Calls of this rank and above are refused.",
                 gate.level,
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -1,5 +1,6 @@
 """Chooses a target for a call and sends it to others on failure."""
 
+from collections.abc import Sequence
 import dataclasses
 
 from sassafras_base import errors
@@ -234,7 +235,12 @@
             _candidates(runtime, _sample(runtime, near, _SAMPLE_SIZE))
         )
     )
-    if choice is None or choice.ejected or choice.cold or choice.score >= 1.0:
+    if (
+        choice is None
+        or choice.ejected
+        or choice.cold
+        or choice.score >= choice.room
+    ):
         return None
     return choice
 
@@ -248,15 +254,17 @@
 
 
 def _sample(
-    runtime: runtimes.Runtime, entries: list[targets.NodeEntry], size: int
-) -> list[targets.NodeEntry]:
-    if len(entries) <= size:
+    runtime: runtimes.Runtime, entries: Sequence[targets.NodeEntry], size: int
+) -> Sequence[targets.NodeEntry]:
+    if len(entries) <= size and not runtime.balancer.uses_reports:
         return entries
-    return runtime.rng.sample(entries, size)
+    return runtime.balancer.sample(
+        entries, size, runtime.target_tracker.abilities, runtime.clock.now()
+    )
 
 
 def _candidates(
-    runtime: runtimes.Runtime, entries: list[targets.NodeEntry]
+    runtime: runtimes.Runtime, entries: Sequence[targets.NodeEntry]
 ) -> list[balancers.Candidate]:
     zone = runtime.settings.host.availability_zone
     is_cold_limited = bool(entries) and runtime.limits_cold(entries[0].service)
@@ -271,6 +279,7 @@
             slots=entry.target.capacity if entry.target else 1,
             cold_start_s=entry.target.cold_start_s if entry.target else 0.0,
             is_cold_limited=is_cold_limited,
+            service=entry.target.service if entry.target else "",
         )
         for entry in entries
     ]
@@ -286,13 +295,18 @@
     tracker = runtime.target_tracker
     if entry.node_id == runtime.settings.host.node_id:
         response = await local.serve(runtime, call, target_id, progress)
-        tracker.record_response(entry.node_id, response)
+        tracker.record_response(
+            entry.node_id, response, call.service, call.route
+        )
         return response
     remaining_s = max(0.0, call.context.deadline - runtime.clock.now())
     request = call_messages.encode_call(
         call,
         target_id,
         remaining_s - min(_PEER_MARGIN_S, remaining_s / 4),
+        tracker.usual_s(call.service, call.route)
+        if runtime.balancer.uses_reports
+        else 0.0,
     )
     tracker.started(entry.node_id)
     try:
@@ -312,7 +326,7 @@
         return _failure(error)
     finally:
         tracker.finished(entry.node_id)
-    tracker.record_response(entry.node_id, response)
+    tracker.record_response(entry.node_id, response, call.service, call.route)
     return response
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -9,6 +9,7 @@
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import levels
+from sassafras_policy.balancing import load_reports
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
@@ -49,6 +50,8 @@
     if refusal is not None:
         return refusal
     gate = target.gate
+    if not target.performance.has_begun:
+        target.performance.begin(call.usual_s)
     admission = await gate.enter(call.context)
     if admission is gates.AdmissionResult.ADMITTED:
         response = await _exchange(runtime, call, target_id, gate, progress)
@@ -63,12 +66,16 @@
             f"the target of service {call.service} has no room",
             retry_after_ms=levels.retry_after_ms(call.context.rank, gate.level),
         )
+    report = None
+    if runtime.balancer.uses_reports:
+        report = target.performance.report(call.route)
     return response.at_target(
         max(gate.load, response.load),
         ((call.service, runtime.effective_level(call)),),
         target.cold_start.remaining_s(runtime.clock.now())
         if target.is_cold
         else 0.0,
+        report,
     )
 
 
@@ -81,7 +88,12 @@
 ) -> messages.CallResponse:
     front_end = runtime.platform.front_end
     started = runtime.clock.now()
-    succeeded = False
+    performance = runtime.target.performance
+    in_flight = gate.in_flight
+    load_report: load_reports.LoadReport | None = None
+    # Whether the target answered well; None if the call does not show it.
+    succeeded: bool | None = None
+    is_late = False
     if call.request_id:
         runtime.running_calls[call.request_id] = calls.RunningCall(call)
     try:
@@ -108,36 +120,64 @@
         target_response = front_end.read_target_response(response)
         if not target_response.ran:
             progress.may_have_run = False
+            succeeded = False
             return messages.refusal(
                 outcomes.Reason.TURNED_AWAY, 503, "the target turned it away"
             )
         if not target_response.is_intact:
+            succeeded = False
             return messages.unknown(
                 outcomes.Reason.TARGET_PROTOCOL,
                 502,
                 "the answer is not the target's own",
             )
-        succeeded = response.status < 500
+        load_report = target_response.load_report
+        sub_call_failed = runtime.sub_call_failed_at >= started
+        if response.status < 500:
+            succeeded = True
+        elif not sub_call_failed:
+            succeeded = False
         return messages.CallResponse(
             outcome=outcomes.Outcome.RAN,
             status=response.status,
             headers=fields.end_to_end(response.headers, _NO_FIELDS),
             body=response.body,
-            sub_call_failed=runtime.sub_call_failed_at >= started,
+            sub_call_failed=sub_call_failed,
         )
     except errors.SassafrasError as error:
         if isinstance(error, errors.RefusedError):
             # The target has ended, and may start again under the same id.
             runtime.target.doubt_warmth("connection refused")
         if runtime.clock.now() >= call.context.deadline:
+            is_late = True
             return deadline_passed(progress)
+        succeeded = False
         return _failure(error)
     finally:
         runtime.running_calls.pop(call.request_id, None)
+        now = runtime.clock.now()
         if succeeded:
-            gate.leave(runtime.clock.now() - started, True)
+            gate.leave(now - started, True)
         else:
             gate.leave_with_error()
+        if runtime.balancer.uses_reports and (succeeded is not None or is_late):
+            usual_s = call.usual_s or runtime.target_tracker.usual_s(
+                call.service, call.route
+            )
+            if is_late:
+                performance.record_timeout(
+                    call, started, in_flight, usual_s, now
+                )
+            else:
+                performance.record(
+                    call,
+                    started,
+                    in_flight,
+                    bool(succeeded),
+                    load_report,
+                    usual_s,
+                    now,
+                )
 
 
 def _refuse_unsent(
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -158,8 +158,10 @@
         self.target = local_target.LocalTarget(
             settings, clock, self.call_deadlines
         )
-        self.target_tracker = target_tracking.TargetTracker(clock)
         factory = balancers.balancers.get(settings.policy.balancer)
+        self.target_tracker = target_tracking.TargetTracker(
+            clock, factory.uses_reports
+        )
         self.balancer = factory(rng)  # type: ignore[call-arg]
         self.retry_budget = retry_budget.RetryBudget(
             settings.bounds.retry_ratio,
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -7,6 +7,7 @@
 from sassafras_base import clock as clocks
 from sassafras_base import events
 from sassafras_node.mesh import settings as mesh_settings
+from sassafras_node.mesh.targets import performance
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import cold_starts
 from sassafras_policy.admission import policies
@@ -46,6 +47,7 @@
       gate: Admits calls.
       cold_start: Limits the calls while the target is cold.
       pool: Connections to the target.
+      performance: What its answers show of its speed and pace.
       restored: Set when the node knows what its previous process published.
         Before that, an announcement may be a late one of a target that has
         left.
@@ -74,6 +76,7 @@
         )
         self._is_cold_logged = False
         self.gate = self._new_gate(1)
+        self.performance = performance.TargetPerformance(self.gate, clock)
         self.pool = self._new_pool()
 
     @property
@@ -154,6 +157,9 @@
             await self.pool.close()
             self.pool = self._new_pool()
             self.gate = self._new_gate(announcement.capacity)
+            self.performance = performance.TargetPerformance(
+                self.gate, self._clock
+            )
         elif previous and previous.capacity != announcement.capacity:
             self.gate.resize(announcement.capacity, self._class_count)
         published = self._published
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -1,12 +1,16 @@
 """Load and health of targets as observed by this node, its own included."""
 
+from collections.abc import Sequence
+
 from sassafras_base import clock as clocks
 from sassafras_base import events
 from sassafras_policy.balancing import balancers
+from sassafras_policy.balancing import estimates
 from sassafras_policy.balancing import health
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.membership import records
+from sassafras_policy.mesh import targets
 
 
 @events.declare(312, "WARNING")
@@ -18,20 +22,44 @@
     return f"target of {node_id} is ejected for {ejection_s:.0f} s"
 
 
+# Ejected targets are rarely drawn, unless all of a service are ejected.
+_EJECTED_ABILITY = 0.01
+# A target that rejects every call is drawn at times all the same.
+_MIN_ABILITY = 0.01
+
+
 class TrackedTarget:
-    """Calls in flight and health of one target, as observed by this node."""
+    """One target, as observed by this node.
+
+    Attributes:
+      in_flight: Calls that this node has in flight there.
+      health: Its errors, rejections and ejection.
+      estimate: Its load and speed by its reports; None where the balancer uses
+        none.
+      identity: Differs for each start of the target.
+    """
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.health = health.TargetHealth()
+        self.estimate: estimates.TargetEstimate | None = None
+        self.identity: object = None
 
 
 class TargetTracker:
     """Tracks calls in flight, load and health of each target."""
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, uses_reports: bool = False) -> None:
+        """Creates a tracker without targets.
+
+        Args:
+          clock: Source of time.
+          uses_reports: Whether load and speed follow the reports in responses.
+        """
         self._clock = clock
+        self._uses_reports = uses_reports
         self._targets: dict[str, TrackedTarget] = {}
+        self._services: dict[str, estimates.ServiceEstimate] = {}
 
     def started(self, node_id: str) -> None:
         """Counts a call to a peer."""
@@ -44,13 +72,31 @@
         tracked.in_flight -= 1
 
     def record_response(
-        self, node_id: str, response: messages.CallResponse
+        self,
+        node_id: str,
+        response: messages.CallResponse,
+        service: str = "",
+        route: str = "",
     ) -> None:
-        """Records the load in a response and how the call ended."""
+        """Records the load in a response and how the call ended.
+
+        Args:
+          node_id: The target's node.
+          response: The response.
+          service: The service that was called.
+          route: The route of the call.
+        """
         tracked = self._targets.get(node_id) or self._tracked(node_id)
         target = tracked.health
         now = self._clock.now()
         target.record_cold(response.cold_s, now)
+        if self._uses_reports and response.report is not None:
+            estimate = tracked.estimate
+            if estimate is None:
+                estimate = self._new_estimate(tracked, service)
+            estimate.record(
+                route, response.load, response.report, tracked.in_flight, now
+            )
         rejected = response.reason is outcomes.Reason.TURNED_AWAY
         if rejected or response.outcome is outcomes.Outcome.RAN:
             target.record_rejection(rejected, now)
@@ -89,6 +135,28 @@
         share = self._tracked(node_id).health.rejected_share(self._clock.now())
         return share > balancers.MAX_REJECTED_SHARE
 
+    def usual_s(self, service: str, route: str) -> float:
+        """Returns the usual time of a call at a target; 0 until known."""
+        known = self._services.get(service)
+        return known.usual_s(route) if known is not None else 0.0
+
+    def abilities(self, entries: Sequence[targets.NodeEntry]) -> list[float]:
+        """Returns the rates of work that targets can do, to compare."""
+        now = self._clock.now()
+        abilities = []
+        for entry in entries:
+            tracked = self._tracked(entry.node_id)
+            slots = entry.target.capacity if entry.target else 1
+            estimate = tracked.estimate
+            ability = float(slots)
+            if estimate is not None:
+                ability = estimate.ability(slots, now)
+            ability *= 1.0 - tracked.health.rejected_share(now)
+            if tracked.health.is_ejected(now):
+                ability *= _EJECTED_ABILITY
+            abilities.append(max(ability, _MIN_ABILITY))
+        return abilities
+
     def candidate(
         self, record: records.NodeRecord, own: records.NodeRecord
     ) -> balancers.Candidate:
@@ -110,6 +178,7 @@
         slots: int,
         cold_start_s: float,
         is_cold_limited: bool = False,
+        service: str = "",
     ) -> balancers.Candidate:
         """Returns a target as input for the balancer.
 
@@ -120,12 +189,33 @@
           slots: Calls that the target can run at once.
           cold_start_s: How long the target is slow after its start.
           is_cold_limited: Whether it gets calls at a low rate only until then.
+          service: Its service.
         """
         tracked = self._targets.get(node_id) or self._tracked(node_id)
         target = tracked.health
         now = self._clock.now()
         if target.set_identity(identity, now) and is_cold_limited:
             target.record_cold(cold_start_s, now)
+        if self._uses_reports:
+            estimate = tracked.estimate
+            if estimate is None or identity != tracked.identity:
+                estimate = self._new_estimate(tracked, service)
+                tracked.identity = identity
+            load, limit, excess_s = estimate.expected(slots, now)
+            return balancers.Candidate(
+                node_id=node_id,
+                same_zone=same_zone,
+                in_flight=max(0, tracked.in_flight - estimate.in_flight),
+                load=load,
+                capacity=limit,
+                errors=target.errors(now),
+                ejected=target.is_ejected(now),
+                rejected_share=target.rejected_share(now),
+                cold=target.is_cold(now),
+                service_s=estimate.service_s,
+                excess_s=excess_s,
+                room=estimates.room(limit),
+            )
         return balancers.Candidate(
             node_id=node_id,
             same_zone=same_zone,
@@ -142,6 +232,15 @@
         """Removes a target whose node has been gone for a long time."""
         self._targets.pop(node_id, None)
 
+    def _new_estimate(
+        self, tracked: TrackedTarget, service: str
+    ) -> estimates.TargetEstimate:
+        means = self._services.get(service)
+        if means is None:
+            means = self._services[service] = estimates.ServiceEstimate()
+        tracked.estimate = estimates.TargetEstimate(means, self._clock.now())
+        return tracked.estimate
+
     def _record_failure(self, node_id: str, at_once: bool) -> None:
         target = self._tracked(node_id).health
         if target.record_failure(self._clock.now(), at_once):
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -70,6 +70,30 @@
         """Calls that may run at once."""
         return self._policy.limit
 
+    @property
+    def in_flight(self) -> int:
+        """Calls that run at the target."""
+        return self._policy.in_flight
+
+    @property
+    def slots(self) -> int:
+        """Calls that the target announced that it can run at once."""
+        return self._policy.slots
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the limit is not kept below the slots by the pace."""
+        return self._policy.is_open
+
+    def hold_back(self) -> None:
+        """Begins with few calls, at a target that starts beside others."""
+        self._policy.hold_back()
+
+    @property
+    def uses_answers(self) -> bool:
+        """Whether `observe` has to be called."""
+        return self._policy.uses_answers
+
     @property
     def level(self) -> int:
         """The admission level; calls of this rank and above are refused."""
@@ -138,6 +162,33 @@
         self._policy.release_unused()
         self._release()
 
+    def observe(
+        self,
+        started_at: float,
+        relative: float,
+        own_relative: float,
+        succeeded: bool,
+        in_flight: int,
+        now: float,
+    ) -> bool:
+        """Records how a call that reached the target ended.
+
+        Args:
+          started_at: When it was sent to the target.
+          relative: Its time, as a multiple of what is usual at the targets of
+            the service.
+          own_relative: The same, of what was usual at this target before.
+          succeeded: Whether the target answered it without an error.
+          in_flight: Calls that were running when it started.
+          now: The current time.
+
+        Returns:
+          Whether the limit is not kept below the slots by a pace.
+        """
+        return self._policy.observe(
+            started_at, relative, own_relative, succeeded, in_flight, now
+        )
+
     async def _wait(self, ticket: queueing.Ticket) -> AdmissionResult:
         waiter = _Waiter(trio.Event())
         self._waiters[ticket] = waiter
--- a/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
@@ -1,6 +1,7 @@
 """A concurrency limit for one target, adapted to the latency of its calls."""
 
 import math
+from typing import Protocol
 
 # The limit starts below the announced slots, so that the first latencies are
 # measured without queueing inside the target.
@@ -23,6 +24,30 @@
 _TRIAL_INTERVAL_S = 10.0
 
 
+class Limit(Protocol):
+    """Calls that may run at one target at once."""
+
+    @property
+    def value(self) -> int:
+        """The number of calls that may run at once."""
+        ...
+
+    @property
+    def baseline_s(self) -> float:
+        """Latency of a call without queueing; 0 until measured."""
+        ...
+
+    def resize(self, slots: int) -> None:
+        """Changes the number of announced slots."""
+        ...
+
+    def observe(
+        self, latency_s: float, success: bool, in_flight: int, now: float
+    ) -> None:
+        """Records the latency of a finished call."""
+        ...
+
+
 class ConcurrencyLimit:
     """A limit within [1, slots] that follows the latency gradient.
 
@@ -35,9 +60,11 @@
     target with fewer slots than announced may include queueing from the start.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(
+        self, slots: int, initial_share: float = _INITIAL_SHARE
+    ) -> None:
         self._slots = max(1, slots)
-        self._limit = float(max(1, math.ceil(self._slots * _INITIAL_SHARE)))
+        self._limit = float(max(1, math.ceil(self._slots * initial_share)))
         self._baseline_s = 0.0
         self._trial: tuple[float, int] | None = None
         self._last_trial_at = 0.0
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -1,6 +1,7 @@
 """Admission policies of a target, selected by name in the settings."""
 
 import dataclasses
+from typing import ClassVar
 from typing import Protocol
 
 from sassafras_base import registry
@@ -52,8 +53,13 @@
 
     The owner of the policy waits on behalf of queued calls and reports the
     end of each call.
+
+    Attributes:
+      uses_answers: Whether the policy needs `observe`.
     """
 
+    uses_answers: ClassVar[bool]
+
     @property
     def load(self) -> float:
         """Ratio of the calls in flight to the limit."""
@@ -99,6 +105,50 @@
         """
         ...
 
+    def observe(
+        self,
+        started_at: float,
+        relative: float,
+        own_relative: float,
+        succeeded: bool,
+        in_flight: int,
+        now: float,
+    ) -> bool:
+        """Records how a call that reached the target ended.
+
+        Args:
+          started_at: When it was sent to the target.
+          relative: Its time, as a multiple of what is usual at the targets of
+            the service.
+          own_relative: The same, of what was usual at this target before.
+          succeeded: Whether the target answered it without an error.
+          in_flight: Calls that were running when it started.
+          now: The current time.
+
+        Returns:
+          Whether the limit is not kept below the slots by a pace.
+        """
+        ...
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that run at the target."""
+        ...
+
+    @property
+    def slots(self) -> int:
+        """Calls that the target announced that it can run at once."""
+        ...
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the limit is not kept below the slots by a pace."""
+        ...
+
+    def hold_back(self) -> None:
+        """Begins with few calls, at a target that starts beside others."""
+        ...
+
     def release_unused(self) -> None:
         """Releases the slot of a call without recording its latency.
 
@@ -125,6 +175,8 @@
 
     # A call that waits for another service counts like any other.
 
+    uses_answers: ClassVar[bool] = False
+
     def __init__(self, slots: int, class_count: int) -> None:
         self._in_flight = 0
         self.resize(slots, class_count)
@@ -165,6 +217,36 @@
     def resumed(self) -> None:
         """See AdmissionPolicy."""
 
+    def observe(
+        self,
+        started_at: float,
+        relative: float,
+        own_relative: float,
+        succeeded: bool,
+        in_flight: int,
+        now: float,
+    ) -> bool:
+        """See AdmissionPolicy."""
+        return True
+
+    @property
+    def in_flight(self) -> int:
+        """See AdmissionPolicy."""
+        return self._in_flight
+
+    @property
+    def slots(self) -> int:
+        """See AdmissionPolicy."""
+        return self._slots
+
+    @property
+    def is_open(self) -> bool:
+        """See AdmissionPolicy."""
+        return True
+
+    def hold_back(self) -> None:
+        """See AdmissionPolicy."""
+
     def release_unused(self) -> None:
         """See AdmissionPolicy."""
         self._in_flight -= 1
@@ -212,9 +294,11 @@
     service blocked all targets upstream of it.
     """
 
+    uses_answers: ClassVar[bool] = False
+
     def __init__(self, slots: int, class_count: int) -> None:
         self._slots = max(1, slots)
-        self._limit = concurrency.ConcurrencyLimit(slots)
+        self._limit = self._make_limit(slots)
         self._queue = queueing.WaitingQueue()
         self._class_count = class_count
         self._open_level = levels.open_level(class_count)
@@ -282,6 +366,36 @@
             admitted=False, level=level, ticket=ticket, displaced=displaced
         )
 
+    def observe(
+        self,
+        started_at: float,
+        relative: float,
+        own_relative: float,
+        succeeded: bool,
+        in_flight: int,
+        now: float,
+    ) -> bool:
+        """See AdmissionPolicy."""
+        return True
+
+    @property
+    def in_flight(self) -> int:
+        """See AdmissionPolicy."""
+        return self._in_flight
+
+    @property
+    def slots(self) -> int:
+        """See AdmissionPolicy."""
+        return self._slots
+
+    @property
+    def is_open(self) -> bool:
+        """See AdmissionPolicy."""
+        return True
+
+    def hold_back(self) -> None:
+        """See AdmissionPolicy."""
+
     def paused(self) -> None:
         """See AdmissionPolicy."""
         self._paused += 1
@@ -323,6 +437,9 @@
         if self._queue.remove(ticket):
             self._levels.record_drop(now - ticket.queued_at)
 
+    def _make_limit(self, slots: int) -> concurrency.Limit:
+        return concurrency.ConcurrencyLimit(slots)
+
     def _max_wait_s(self, context: messages.CallContext, now: float) -> float:
         """Returns how long a call may wait.
 
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -1,9 +1,12 @@
 """Load balancers, selected by name in the settings."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import random
+from typing import ClassVar
 from typing import Protocol
+from typing import TypeVar
 
 from sassafras_base import registry
 
@@ -19,14 +22,20 @@
     Attributes:
       node_id: The node of the target.
       same_zone: Whether it is in the same availability zone as this node.
-      in_flight: Calls that this node has in flight there.
+      in_flight: Calls that this node has in flight there; where reports are
+        used, only those that `load` does not include.
       load: Load in its last response; 1.0 when its limit is reached.
-      capacity: Maximum concurrent calls, scaled down during slow start.
+      capacity: Maximum concurrent calls; scaled down during slow start, or
+        the reported limit where reports are used.
       errors: Its recent errors; each counts as a call in flight.
       ejected: Whether it is ejected because of errors.
       rejected_share: Share of the calls that it rejected of late, of those that
         reached it.
       cold: Whether it gets calls at a low rate only.
+      service_s: Time that a call takes there; 0 if that is not known.
+      excess_s: Part of that time by which it is slower than targets of one
+        service usually differ.
+      room: Score below which calls are not likely to wait there.
     """
 
     node_id: str
@@ -38,6 +47,9 @@
     ejected: bool = False
     rejected_share: float = 0.0
     cold: bool = False
+    service_s: float = 0.0
+    excess_s: float = 0.0
+    room: float = 1.0
 
     @property
     def score(self) -> float:
@@ -46,8 +58,39 @@
         return self.load + calls / max(self.capacity, 1.0)
 
 
+# What a balancer takes samples of; it compares them by their abilities only.
+EntryT = TypeVar("EntryT")
+
+# Returns for each entry the rate of work that its target can do, to compare.
+Abilities = Callable[[Sequence[EntryT]], Sequence[float]]
+
+
 class Balancer(Protocol):
-    """Chooses among the candidates of one service."""
+    """Chooses among the candidates of one service.
+
+    Attributes:
+      uses_reports: Whether nodes report limit and service time of their local
+        targets with each response.
+    """
+
+    uses_reports: ClassVar[bool]
+
+    def sample(
+        self,
+        entries: Sequence[EntryT],
+        size: int,
+        abilities: Abilities[EntryT],
+        now: float,
+    ) -> Sequence[EntryT]:
+        """Returns some of the targets, from which to make candidates.
+
+        Args:
+          entries: The targets; the same object as long as they are the same.
+          size: How many to return at most.
+          abilities: Returns the abilities of targets.
+          now: The current time.
+        """
+        ...
 
     def choose(self, candidates: Sequence[Candidate]) -> Candidate | None:
         """Returns the target for the next call, or None without candidates."""
@@ -102,16 +145,35 @@
 balancers: registry.Registry[BalancerFactory] = registry.Registry("balancer")
 
 
+class UniformSampling:
+    """Base of the balancers that know no abilities."""
+
+    uses_reports: ClassVar[bool] = False
+
+    def __init__(self, rng: random.Random) -> None:
+        self._random = rng
+
+    def sample(
+        self,
+        entries: Sequence[EntryT],
+        size: int,
+        abilities: Abilities[EntryT],
+        now: float,
+    ) -> Sequence[EntryT]:
+        """See Balancer."""
+        del abilities, now
+        if len(entries) <= size:
+            return entries
+        return self._random.sample(entries, size)
+
+
 @balancers.register("power-of-two")
-class PowerOfTwo:
+class PowerOfTwo(UniformSampling):
     """Chooses the less loaded of two random candidates.
 
     Always choosing the minimum of stale load reports would cause herding.
     """
 
-    def __init__(self, rng: random.Random) -> None:
-        self._random = rng
-
     def choose(self, candidates: Sequence[Candidate]) -> Candidate | None:
         """See Balancer."""
         if not candidates:
@@ -126,12 +188,9 @@
 
 
 @balancers.register("random")
-class Uniform:
+class Uniform(UniformSampling):
     """Chooses a random candidate; the baseline without load information."""
 
-    def __init__(self, rng: random.Random) -> None:
-        self._random = rng
-
     def choose(self, candidates: Sequence[Candidate]) -> Candidate | None:
         """See Balancer."""
         return self._random.choice(list(candidates)) if candidates else None
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sassafras_policy.balancing import load_reports
 from sassafras_policy.calls import outcomes
 
 BUCKET_COUNT = 128
@@ -100,6 +101,8 @@
       retryable: Whether another target of the service may be tried.
       sub_call_failed: Whether a sub-call of the target failed, so that an
         error is not the target's own.
+      report: Limit and service time of that target; None where the balancer
+        uses none.
     """
 
     outcome: outcomes.Outcome
@@ -114,9 +117,14 @@
     leaving: bool = False
     retryable: bool = False
     sub_call_failed: bool = False
+    report: load_reports.TargetReport | None = None
 
     def at_target(
-        self, load: float, levels: tuple[tuple[str, int], ...], cold_s: float
+        self,
+        load: float,
+        levels: tuple[tuple[str, int], ...],
+        cold_s: float,
+        report: load_reports.TargetReport | None = None,
     ) -> "CallResponse":
         """Returns the response with the state of the target.
 
@@ -135,6 +143,7 @@
             leaving=self.leaving,
             retryable=self.retryable,
             sub_call_failed=self.sub_call_failed,
+            report=report,
         )
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sassafras_policy.balancing import load_reports
 from sassafras_policy.calls import messages
 
 
@@ -22,6 +23,8 @@
         node enforces it.
       stage: How many calls of the same request have succeeded before, as far as
         its first node knows.
+      usual_s: Time that a call of the route usually takes at a target, as its
+        first node knows; 0 if it does not.
     """
 
     request: messages.Request
@@ -34,6 +37,7 @@
     route: str = ""
     max_targets: int = 1
     stage: int = 0
+    usual_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +61,10 @@
       ran: Whether the target executed the request.
       is_intact: Whether status, signature and body are those of the target,
         unaltered.
+      load_report: The load that the target states; None if it states none, or
+        none that can be read.
     """
 
     ran: bool
     is_intact: bool
+    load_report: load_reports.LoadReport | None = None
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from sassafras_base import errors
+from sassafras_policy.balancing import load_reports
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.mesh import calls
@@ -38,6 +39,8 @@
       path: Path and query.
       headers: Forwarded header fields, names in lower case.
       body: Complete body.
+      usual_us: Time that a call of the route usually takes at a target, in
+        microseconds; 0 if the sending node does not know.
     """
 
     type: Literal["mesh_call"] = "mesh_call"
@@ -56,6 +59,7 @@
     path: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    usual_us: int = pydantic.Field(default=0, ge=0)
 
 
 @models.message_types.register("mesh_answer")
@@ -76,6 +80,10 @@
       is_last: Whether the node accepts no more calls on this connection.
       entry: The node's entry, where it does not have the target that the
         sending node selected.
+      limit: Calls that may run at the target at once; 0 if the node does not
+        report them.
+      service_us: Time at the target of a call of the same route, in
+        microseconds; 0 until measured.
     """
 
     type: Literal["mesh_answer"] = "mesh_answer"
@@ -90,6 +98,8 @@
     sub_call_failed: bool = False
     is_last: bool = False
     entry: link_messages.NodeEntryModel | None = None
+    limit: int = pydantic.Field(default=0, ge=0)
+    service_us: int = pydantic.Field(default=0, ge=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,7 +115,9 @@
     target_id: str
 
 
-def encode_call(call: calls.Call, target_id: str, remaining_s: float) -> bytes:
+def encode_call(
+    call: calls.Call, target_id: str, remaining_s: float, usual_s: float = 0.0
+) -> bytes:
     """Returns a `CallMessage` as bytes.
 
     The fields are taken from the call itself; a model in between would be
@@ -115,6 +127,7 @@
       call: The call.
       target_id: The selected target.
       remaining_s: Time left until the deadline of the call.
+      usual_s: Usual time of such a call at a target; 0 if it is not known.
     """
     request = call.request
     context = call.context
@@ -138,6 +151,8 @@
         content["organisation"] = call.organisation
     if request.body:
         content["body"] = request.body
+    if usual_s:
+        content["usual_us"] = int(usual_s * 1e6)
     return cbor2.dumps(content)
 
 
@@ -208,6 +223,7 @@
         ),
         is_idempotent=message.is_idempotent,
         route=message.route,
+        usual_s=message.usual_us / 1e6,
     )
     return ReceivedCall(call, message.target_id)
 
@@ -243,6 +259,9 @@
         content["sub_call_failed"] = True
     if is_last:
         content["is_last"] = True
+    if response.report is not None:
+        content["limit"] = response.report.limit
+        content["service_us"] = int(response.report.service_s * 1e6)
     if entry is not None:
         content["entry"] = link_messages.to_model(entry).model_dump(mode="json")
     return cbor2.dumps(content)
@@ -266,4 +285,9 @@
         cold_s=message.cold_s,
         levels=() if level is None else ((service, level),),
         sub_call_failed=message.sub_call_failed,
+        report=load_reports.TargetReport(
+            message.limit, message.service_us / 1e6
+        )
+        if message.limit
+        else None,
     )
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/plain_calls.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/plain_calls.py
@@ -38,6 +38,7 @@
     path: str
     headers: messages.Headers
     body: bytes
+    usual_us: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +54,8 @@
     level: int | None
     sub_call_failed: bool
     is_last: bool
+    limit: int
+    service_us: int
     cold_s: float = 0.0
     entry: None = None
 
@@ -70,6 +73,8 @@
         "level",
         "sub_call_failed",
         "is_last",
+        "limit",
+        "service_us",
     ]
 )
 
@@ -96,6 +101,7 @@
         get("path"),
         (),
         get("body", b""),
+        get("usual_us", 0),
     )
     headers = _read_headers(get("headers", ()))
     if (
@@ -117,6 +123,8 @@
         or call.priority < 0
         or not 0 <= call.bucket < messages.BUCKET_COUNT
         or call.depth < 0
+        or type(call.usual_us) is not int
+        or call.usual_us < 0
     ):
         return None
     call.headers = headers
@@ -148,6 +156,8 @@
         get("level"),
         get("sub_call_failed", False),
         get("is_last", False),
+        get("limit", 0),
+        get("service_us", 0),
     )
     if (
         type(answer.status) is not int
@@ -155,6 +165,10 @@
         or type(answer.load) is not float
         or type(answer.sub_call_failed) is not bool
         or type(answer.is_last) is not bool
+        or type(answer.limit) is not int
+        or type(answer.service_us) is not int
+        or answer.limit < 0
+        or answer.service_us < 0
         or not (answer.level is None or type(answer.level) is int)
     ):
         return None
