Find entries without effect in the check of a configuration

Cause: `sassafras check` showed invalid values only. A route behind a broader one, a class without a route or a burst below one second of the rate was noticed when requests failed. Change: A registry of checks in sassafras-policy finds valid entries that have no effect or contradict each other; `check` prints them with section, key and line, and ends with 1 for findings and 2 for faults. `--compare` asks a node for the difference from the configuration in force and for the announced slots, with requests that change nothing. Documents with infinite numbers are refused: a node accepted them and wrote null, which no node could read back. Measured: not measured. Conclusion: The check can stand before `apply` in a script.

--- a/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
+++ b/packages/sassafras-cli/src/sassafras_cli/commands/configuration.py
@@ -13,32 +13,6 @@
 from sassafras_wire.administration import models
 
 
-class CheckAnswer(models.Answer):
-    """Result of the check of a valid file."""
-
-    file: str
-    summary: str
-
-
-@registry.command(
-    "check",
-    "FILE",
-    example="sassafras check examples/athens.ini",
-    uses_node=False,
-)
-async def check(invocation: registry.Invocation) -> exit_codes.ExitCode:
-    """Checks a questionnaire and shows every fault; needs no node."""
-    (path,) = invocation.arguments
-    loaded = content_files.load(path)
-    if isinstance(loaded, result.Err):
-        return invocation.fail(loaded.err_value)
-    summary = loaded.ok_value.summary
-    return invocation.show(
-        CheckAnswer(file=path, summary=summary),
-        f"{path}: no faults; {summary}",
-    )
-
-
 @registry.command(
     "show",
     example="sassafras show --json --node=10.0.0.7:7404"
--- a/packages/sassafras-cli/src/sassafras_cli/exit_codes.py
+++ b/packages/sassafras-cli/src/sassafras_cli/exit_codes.py
@@ -16,7 +16,8 @@
 MEANINGS = {
     ExitCode.DONE: "done, or already as asked",
     ExitCode.FAILED: "refused or failed; nothing was changed, except that a"
-    " target that has not drained in time stays stopped",
+    " target that has not drained in time stays stopped; or `check` has"
+    " findings",
     ExitCode.USAGE: "usage or invalid input; nothing was changed",
     ExitCode.CONFLICT: "another change was first; nothing was changed",
     ExitCode.UNKNOWN: "outcome unknown; the change may have been made",
--- a/packages/sassafras-cli/src/sassafras_cli/main.py
+++ b/packages/sassafras-cli/src/sassafras_cli/main.py
@@ -13,6 +13,7 @@
 from sassafras_cli import help_text
 from sassafras_cli import options
 from sassafras_cli import registry
+from sassafras_cli.commands import checking
 from sassafras_cli.commands import configuration
 from sassafras_cli.commands import explain
 from sassafras_cli.commands import keys
@@ -23,6 +24,7 @@
 
 # Importing these modules registers their commands.
 COMMAND_MODULES = (
+    checking,
     configuration,
     explain,
     keys,
@@ -72,7 +74,7 @@
     if fault:
         return _usage_error(f"{fault}; usage: {command.usage}", error_out)
     client: clients.AdminClient | None = None
-    if command.uses_node:
+    if command.uses_node or line.options.compare:
         made = _make_client(line.options)
         if isinstance(made, result.Err):
             return _usage_error(made.err_value, error_out)
--- a/packages/sassafras-cli/src/sassafras_cli/options.py
+++ b/packages/sassafras-cli/src/sassafras_cli/options.py
@@ -33,6 +33,7 @@
       limit: Number of audit records to show.
       wait_s: Timeout for a target to drain.
       format: Output format of the burn report.
+      compare: Whether to compare a file with the deployment of the node.
     """
 
     help: bool = False
@@ -45,6 +46,7 @@
     limit: int = _DEFAULT_LIMIT
     wait_s: float = _DEFAULT_WAIT_S
     format: str = "text"
+    compare: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,4 +150,11 @@
         "Form of the burn report; --json gives JSON.",
         flag_values=values,
     )
+    flags.DEFINE_boolean(
+        "compare",
+        False,
+        "Also compare with the configuration in force and the announced"
+        " targets; needs --node and --credential_file.",
+        flag_values=values,
+    )
     return values
--- a/packages/sassafras-cli/src/sassafras_cli/tables.py
+++ b/packages/sassafras-cli/src/sassafras_cli/tables.py
@@ -40,8 +40,8 @@
 def faults(found: Sequence[models.FaultModel]) -> str:
     """Returns a table of faults."""
     return render(
-        ("SECTION", "KEY", "GIVEN", "ALLOWED"),
-        [(f.section, f.key, f.given, f.allowed) for f in found],
+        ("LINE", "SECTION", "KEY", "GIVEN", "ALLOWED"),
+        [(f.line or "", f.section, f.key, f.given, f.allowed) for f in found],
     )
 
 
--- /dev/null
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checks for valid configuration entries that probably are mistakes."""
--- a/packages/sassafras-policy/src/sassafras_policy/configuration/differences.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/differences.py
@@ -13,7 +13,7 @@
 T = TypeVar("T")
 
 # Keys of the questionnaire for fields that have other names in the code.
-_FIELD_NAMES = {"call_class": "class", "is_open": "open", "pattern": "path"}
+FIELD_NAMES = {"call_class": "class", "is_open": "open", "pattern": "path"}
 
 
 class Action(enum.StrEnum):
@@ -198,7 +198,7 @@
     if not dataclasses.is_dataclass(item):
         return {}
     return {
-        _FIELD_NAMES.get(field.name, field.name): getattr(item, field.name)
+        FIELD_NAMES.get(field.name, field.name): getattr(item, field.name)
         for field in dataclasses.fields(item)
         if field.name not in skipped
     }
--- a/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
@@ -31,6 +31,62 @@
     return len(path) == len(pattern)
 
 
+@dataclasses.dataclass(slots=True)
+class _PatternNode:
+    """A prefix of patterns.
+
+    Attributes:
+      children: Longer prefixes by their last segment.
+      whole: The pattern that ends here; None if there is none.
+      rest: The pattern that goes on with `**`; None if there is none.
+    """
+
+    children: dict[str, "_PatternNode"] = dataclasses.field(
+        default_factory=dict
+    )
+    whole: str | None = None
+    rest: str | None = None
+
+
+class PatternSet:
+    """Finds patterns that match every path that another one matches.
+
+    A tree of segments keeps this fast for thousands of patterns.
+    """
+
+    def __init__(self) -> None:
+        self._root = _PatternNode()
+
+    def add(self, pattern: str) -> None:
+        """Adds a pattern; it must not be covered by the set."""
+        node = self._root
+        for segment in pattern.split("/"):
+            if segment == "**":
+                node.rest = pattern
+                return
+            node = node.children.setdefault(segment, _PatternNode())
+        node.whole = pattern
+
+    def find_cover(self, pattern: str) -> str | None:
+        """Returns a pattern that matches all that the given one matches."""
+        nodes = [self._root]
+        for segment in pattern.split("/"):
+            for node in nodes:
+                if node.rest is not None:
+                    return node.rest
+            if segment == "**":
+                return None
+            nodes = [
+                node.children[key]
+                for node in nodes
+                for key in dict.fromkeys((segment, "*"))
+                if key in node.children
+            ]
+        return next(
+            (n.whole or n.rest for n in nodes if n.whole or n.rest), None
+        )
+
+
 class Index:
     """Finds routes, organisations and reachable services.
 
--- a/packages/sassafras-wire/src/sassafras_wire/administration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/administration/models.py
@@ -143,12 +143,17 @@
 
 
 class FaultModel(Answer):
-    """A fault in the input."""
+    """A fault in the input.
+
+    Attributes:
+      line: Line number in a questionnaire; 0 if there is none.
+    """
 
     section: str = ""
     key: str = ""
     given: str = ""
     allowed: str = ""
+    line: int = 0
 
 
 class DifferenceModel(Answer):
--- a/packages/sassafras-wire/src/sassafras_wire/configuration/models.py
+++ b/packages/sassafras-wire/src/sassafras_wire/configuration/models.py
@@ -17,7 +17,10 @@
 
 class _Model(pydantic.BaseModel):
     # An older node must be able to read a document of a newer version.
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    # JSON has no infinities, so a document with one could not be read back.
+    model_config = pydantic.ConfigDict(
+        extra="ignore", frozen=True, allow_inf_nan=False
+    )
 
 
 class KeyModel(_Model):
--- a/packages/sassafras-wire/src/sassafras_wire/questionnaire/parsing.py
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/parsing.py
@@ -1,7 +1,9 @@
 """Parses a questionnaire and reports all its faults at once."""
 
+from collections.abc import Iterator
 import configparser
 import dataclasses
+import io
 import pathlib
 import re
 
@@ -30,12 +32,14 @@
       key: The key; empty when the fault concerns the whole section.
       given: The given value; empty when there is none.
       allowed: What is allowed instead.
+      line: Line number of the key or section; 0 if there is none.
     """
 
     section: str
     key: str
     given: str
     allowed: str
+    line: int = 0
 
     def __str__(self) -> str:
         where = f"[{self.section}] {self.key}".rstrip()
@@ -103,6 +107,7 @@
                     error.line.strip(),
                     f"line {error.lineno}: a section such as [deployment] must"
                     " come first",
+                    error.lineno,
                 )
             ]
         )
@@ -115,6 +120,7 @@
                     line,
                     f"line {number}: a line 'key = value', '[section]' or"
                     " '# comment'",
+                    number,
                 )
                 for number, line in error.errors
             ]
@@ -139,10 +145,58 @@
     _check_required_sections(parser, faults)
     _check_distinct_routes(sections["route"], faults)
     if faults:
-        return result.Err(faults)
+        return result.Err(_add_lines(text, faults))
     return result.Ok(_assemble(singles, sections))
 
 
+def find_lines(text: str) -> dict[tuple[str, str], int]:
+    """Returns the line of the first occurrence of each section and key.
+
+    The key of a section's own line is empty.
+    """
+    lines: dict[tuple[str, str], int] = {}
+    for entry in _scan(text):
+        lines.setdefault((entry.section, entry.key), entry.line)
+    return lines
+
+
+def _add_lines(text: str, faults: list[Fault]) -> list[Fault]:
+    lines = find_lines(text)
+    return [
+        dataclasses.replace(
+            fault,
+            line=fault.line
+            or lines.get((fault.section.strip(), fault.key))
+            # A missing key is reported at its section.
+            or lines.get((fault.section.strip(), ""), 0),
+        )
+        for fault in faults
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    """A line with a section or key; the key of a section's line is empty."""
+
+    line: int
+    section: str
+    key: str
+    text: str
+
+
+def _scan(text: str) -> Iterator[_Entry]:
+    section = ""
+    # Unlike str.splitlines, the parser ends lines at newlines only.
+    for number, line in enumerate(io.StringIO(text), start=1):
+        header = _HEADER.match(line.strip())
+        key = _KEY.match(line)
+        if header:
+            section = header["header"].strip()
+            yield _Entry(number, section, "", line.strip())
+        elif key:
+            yield _Entry(number, section, key["key"].lower(), line.strip())
+
+
 def _split_header(header: str) -> tuple[str, str]:
     kind, _, name = header.strip().partition(" ")
     return kind, name.strip()
@@ -153,24 +207,29 @@
     faults = []
     headers: set[tuple[str, str]] = set()
     keys: set[str] = set()
-    section = ""
-    for line in text.splitlines():
-        header = _HEADER.match(line.strip())
-        key = _KEY.match(line)
-        if header:
-            section = header["header"].strip()
+    for entry in _scan(text):
+        if not entry.key:
             keys = set()
-            split = _split_header(section)
+            split = _split_header(entry.section)
             if split in headers:
-                faults.append(Fault(section, "", "", "each section once"))
+                faults.append(
+                    Fault(
+                        entry.section, "", "", "each section once", entry.line
+                    )
+                )
             headers.add(split)
-        elif key:
-            name = key["key"].lower()
-            if name in keys:
+        else:
+            if entry.key in keys:
                 faults.append(
-                    Fault(section, name, line.strip(), "each key once")
+                    Fault(
+                        entry.section,
+                        entry.key,
+                        entry.text,
+                        "each key once",
+                        entry.line,
+                    )
                 )
-            keys.add(name)
+            keys.add(entry.key)
     return faults
 
 
--- a/tests/contract/test_command_line.py
+++ b/tests/contract/test_command_line.py
@@ -8,6 +8,7 @@
 import trio
 
 from common import administration
+from common import command_line
 from common import waiting
 from sassafras_cli import exit_codes
 from sassafras_cli import help_text
@@ -42,54 +43,9 @@
 }
 
 
-class Outcome:
-    """Exit code and output of a command."""
-
-    def __init__(self, code, out, error_out):
-        self.code = int(code)
-        self.out = out.getvalue()
-        self.error_out = error_out.getvalue()
-
-    @property
-    def json(self):
-        return json.loads(self.out)
-
-    @property
-    def text(self):
-        return self.out + self.error_out
-
-
-async def sassafras(*argv, out=None):
-    out, error_out = out or io.StringIO(), io.StringIO()
-    code = await main.execute([str(a) for a in argv], out, error_out)
-    return Outcome(code, out, error_out)
-
-
-class Operator:
-    """Runs commands against a node with one credential."""
-
-    def __init__(self, site, credential=administration.CHANGER):
-        self.site = site
-        self._file = site.folder / f"{credential}.credential"
-        self._file.write_text(credential + "\n")
-
-    async def run(self, *argv, out=None):
-        return await sassafras(
-            *argv,
-            f"--node={self.site.address}",
-            f"--credential_file={self._file}",
-            out=out,
-        )
-
-    def file(self, text, name="harbour.ini"):
-        path = self.site.folder / name
-        path.write_text(text)
-        return path
-
-
 async def prepared(site):
     """Returns an operator at a node with a configuration and a target."""
-    operator = Operator(site)
+    operator = command_line.Operator(site)
     path = operator.file(administration.QUESTIONNAIRE)
     applied = await operator.run("apply", path)
     assert applied.code == 0, applied.text
@@ -122,14 +78,16 @@
 async def test_help_lists_commands_and_exit_codes():
     """Guards against commands and exit codes that are missing from the help."""
     for argv in ([], ["help"], ["--help"]):
-        outcome = await sassafras(*argv)
+        outcome = await command_line.run(*argv)
         assert outcome.code == 0
         for name in COMMANDS:
             assert f"sassafras {name}" in outcome.out
         for code in exit_codes.ExitCode:
             assert f"  {int(code)}  " in outcome.out
     for argv in (["help", "plan"], ["plan", "--help"]):
-        assert "usage: sassafras plan FILE" in (await sassafras(*argv)).out
+        assert (
+            "usage: sassafras plan FILE" in (await command_line.run(*argv)).out
+        )
 
 
 # Each row: the command line, and a part of the output.
@@ -161,7 +119,7 @@
 @pytest.mark.parametrize(("argv", "text"), USAGE_FAULTS)
 async def test_usage_errors_exit_with_2(argv, text):
     """Guards against scripts that take a usage error for a refusal."""
-    outcome = await sassafras(*argv)
+    outcome = await command_line.run(*argv)
     assert outcome.code == 2
     assert text in outcome.error_out
     assert outcome.out == ""
@@ -170,7 +128,7 @@
 @pytest.mark.parametrize("name", ["athens", "mauritius"])
 async def test_check_needs_no_node(name):
     """Guards against a check that works only with a running node."""
-    outcome = await sassafras("check", EXAMPLES / f"{name}.ini")
+    outcome = await command_line.run("check", EXAMPLES / f"{name}.ini")
     assert outcome.code == 0
     assert "no faults; 4 services, 8 organisations" in outcome.out
 
@@ -179,11 +137,11 @@
     """Guards against a check that stops at the first fault."""
     path = tmp_path / "faulty.ini"
     path.write_text(administration.FAULTY)
-    outcome = await sassafras("check", path)
+    outcome = await command_line.run("check", path)
     assert outcome.code == 2
     for text in ("rate_per_s", "a number above 0", "lodgement, status"):
         assert text in outcome.error_out
-    as_json = await sassafras("check", path, "--json")
+    as_json = await command_line.run("check", path, "--json")
     assert as_json.code == 2
     assert [f["key"] for f in as_json.json["faults"]] == ["rate_per_s", "class"]
 
@@ -217,6 +175,8 @@
         shown = await operator.run("show", "--json")
         document = shown.json
         document["retry_limit"] = 1
+        # Below one second of the rate, the burst would be a finding.
+        document["organisations"][0]["burst"] = 100
         path = operator.file(json.dumps(document), "document.json")
         assert (await operator.run("check", path)).code == 0
         applied = await operator.run("apply", path, "--expected_revision=1")
@@ -325,13 +285,13 @@
     """Guards against commands that bypass the operator's role."""
     async with administration.site(tmp_path) as site:
         await prepared(site)
-        reader = Operator(site, administration.READER)
+        reader = command_line.Operator(site, administration.READER)
         path = reader.file(administration.REVISED)
         assert (await reader.run("plan", path)).code == 0
         outcome = await reader.run("apply", path, "--expected_revision=1")
         assert outcome.code == 1
         assert "change is needed" in outcome.error_out
-        stranger = Operator(site, "guess")
+        stranger = command_line.Operator(site, "guess")
         assert (await stranger.run("status")).code == 1
 
 
@@ -498,8 +458,8 @@
     listeners = await trio.open_tcp_listeners(int(port), host=host)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, handler, listeners)
-        change = await sassafras("keys-withdraw", "bank", "main", *flags)
-        read = await sassafras("keys-list", *flags)
+        change = await command_line.run("keys-withdraw", "bank", "main", *flags)
+        read = await command_line.run("keys-list", *flags)
         nursery.cancel_scope.cancel()
     assert (change.code, read.code) == (change_code, read_code)
     assert ("outcome unknown" in change.error_out) == (change_code == 4)
--- a/tests/contract/test_configuration_changes.py
+++ b/tests/contract/test_configuration_changes.py
@@ -9,6 +9,7 @@
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.configuration import edits
 from sassafras_policy.configuration import validation
+from sassafras_wire.configuration import models as configuration_models
 
 KEY = documents.Key("main", "a" * 64)
 LODGE = documents.Route("desk", "POST", "/desk/cheques", "lodgement", True)
@@ -207,3 +208,15 @@
     """Guards against an old copy that restores a withdrawn key."""
     found = validation.find_change_faults(document, BASE)
     assert [fault.field for fault in found] == fields
+
+
+@pytest.mark.parametrize("field", ["rate_per_s", "burst"])
+def test_a_document_with_an_infinite_number_is_refused(field):
+    """Guards against a stored document that no node can read back.
+
+    JSON has no infinities: they were written as null.
+    """
+    content = dataclasses.asdict(BASE)
+    content["organisations"][0][field] = float("inf")
+    checked = configuration_models.check_posted(content)
+    assert [fault.field for fault in checked.err_value] == [field]
--- a/tests/contract/test_operator_pages.py
+++ b/tests/contract/test_operator_pages.py
@@ -9,6 +9,8 @@
 from sassafras_cli import registry
 from sassafras_node.admin import routing
 from sassafras_node.admin import supervisor as admin_supervisor
+from sassafras_policy.configuration.checks import registry as checks
+from sassafras_policy.configuration.checks import suite
 from sassafras_wire.questionnaire import models
 
 PAGES = pathlib.Path(__file__).parents[2] / "docs" / "operators"
@@ -69,6 +71,17 @@
         assert f"| `[{kind} NAME]` |" in text
 
 
+def test_the_check_page_lists_every_check_with_its_level():
+    """Guards against findings that the operators cannot look up."""
+    assert suite.CHECK_MODULES
+    listed = dict(
+        re.findall(r"^\| `([a-z-]+)` \| (\w+) \|", page("check.md"), re.M)
+    )
+    assert listed == {
+        name: str(check.level) for name, check in checks.checks.items()
+    }
+
+
 def _all_flags():
     return sorted(
         {f for _, entry in registry.commands.items() for f in entry.all_flags}
