--- a/packages/sassafras-policy/src/sassafras_policy/configuration/checks/routes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/checks/routes.py
@@ -40,3 +40,32 @@
         " its requests",
         advice="move it before that route or remove it",
     )
+
+
+@registry.check("misleading-pattern")
+def find_misleading_patterns(
+    subject: registry.Subject,
+) -> Iterator[registry.Finding]:
+    """Finds patterns that match something else than they seem to.
+
+    A questionnaire cannot have them, a document can.
+    """
+    for position, route in enumerate(subject.content.routes):
+        segments = route.pattern.split("/")
+        problem = ""
+        if "?" in route.pattern:
+            problem = "never matches, because paths are matched without a query"
+        elif "**" in segments[:-1]:
+            problem = "`**` matches the rest, so what follows it is ignored"
+        elif any("*" in s and s not in ("*", "**") for s in segments):
+            problem = "`*` within a segment matches only the character itself"
+        if problem:
+            yield registry.Finding(
+                kind="route",
+                name=f"{route.method} {route.pattern}",
+                position=position,
+                field="pattern",
+                given=route.pattern,
+                problem=problem,
+                advice="use `*` for one whole segment and `**` at the end",
+            )
--- a/packages/sassafras-wire/src/sassafras_wire/questionnaire/parsing.py
+++ b/packages/sassafras-wire/src/sassafras_wire/questionnaire/parsing.py
@@ -152,26 +152,25 @@
 def find_lines(text: str) -> dict[tuple[str, str], int]:
     """Returns the line of the first occurrence of each section and key.
 
-    The key of a section's own line is empty.
+    Kind and name of a section are separated by one space. The key of a
+    section's own line is empty.
     """
     lines: dict[tuple[str, str], int] = {}
     for entry in _scan(text):
-        lines.setdefault((entry.section, entry.key), entry.line)
+        section = " ".join(_split_header(entry.section)).rstrip()
+        lines.setdefault((section, entry.key), entry.line)
     return lines
 
 
 def _add_lines(text: str, faults: list[Fault]) -> list[Fault]:
     lines = find_lines(text)
-    return [
-        dataclasses.replace(
-            fault,
-            line=fault.line
-            or lines.get((fault.section.strip(), fault.key))
-            # A missing key is reported at its section.
-            or lines.get((fault.section.strip(), ""), 0),
-        )
-        for fault in faults
-    ]
+    located = []
+    for fault in faults:
+        section = " ".join(_split_header(fault.section)).rstrip()
+        # A missing key is reported at its section.
+        line = lines.get((section, fault.key)) or lines.get((section, ""), 0)
+        located.append(dataclasses.replace(fault, line=fault.line or line))
+    return located
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/contract/test_check_command.py
+++ b/tests/contract/test_check_command.py
@@ -58,7 +58,7 @@
 async def test_a_finding_about_a_route_names_its_section(tmp_path):
     """Guards against names that the operator's file does not have."""
     text = CLEAN + (
-        "[route late]\nservice = desk\nmethod = GET\npath = /desk/late\n"
+        "[route  late ]\nservice = desk\nmethod = GET\npath = /desk/late\n"
         "class = status\nat_most_once = no\ndeadline_ms = 2000\n"
     )
     line = text.splitlines().index("path = /desk/late") + 1
--- a/tests/contract/test_configuration_checks.py
+++ b/tests/contract/test_configuration_checks.py
@@ -110,6 +110,18 @@
         ),
         ("repeated-key", "organisation bank", "keys"),
     ),
+    (
+        changed(routes=(*BASE.routes, route("PUT", "/desk/a?b=1"))),
+        ("misleading-pattern", "route PUT /desk/a?b=1", "pattern"),
+    ),
+    (
+        changed(routes=(*BASE.routes, route("PUT", "/desk/**/a"))),
+        ("misleading-pattern", "route PUT /desk/**/a", "pattern"),
+    ),
+    (
+        changed(routes=(*BASE.routes, route("PUT", "/desk/a*"))),
+        ("misleading-pattern", "route PUT /desk/a*", "pattern"),
+    ),
 ]
 
 
