Admit requests once, by the room of the scarcest service behind them

Cause: the first node refuses by the admission level of the service that it calls, and learns nothing of what a request needs behind it. Where the scarce service is three calls deep, the level arrives after the queues are full. Change: responses carry a report for each service that a call reached, added up over the calls of a request. Targets report the demand, with calls weighted by the part of their requests that was admitted, so that all first nodes come to the same share without a delayed feedback. A share is divided by class, then by rate among organisations. Refused callers get times of their own, and one that comes back and can still be served in time is admitted twice as likely. Calls wait as long as they can still be served before their deadline. Chosen by 'requests = whole-requests' and 'admission = deadline'; the defaults are as before and measure and send nothing.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -102,6 +102,10 @@
                 "Availability zones whose targets get no calls.",
                 len(runtime.evacuations.zones),
             ),
+            "admitted_share": (
+                "Part of the requests that fits into the scarcest service.",
+                min(runtime.requests.admitted_shares.values(), default=1.0),
+            ),
             "admission_level": (
                 "Calls of this rank and above are refused.",
                 gate.level,
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -7,11 +7,14 @@
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.calls import dispatch
+from sassafras_node.mesh.calls import request_admission
 from sassafras_node.mesh.calls import request_log
 from sassafras_policy.admission import memory as memories
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
+from sassafras_policy.calls import reports
+from sassafras_policy.configuration import document
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import configuration
 
@@ -69,6 +72,14 @@
         response = await dispatch.dispatch(runtime, call, history)
         if call.context.depth:
             _record_sub_call(runtime, caller_request, response)
+        else:
+            runtime.requests.record_response(
+                call.route,
+                call.service,
+                response,
+                started,
+                runtime.clock.now(),
+            )
     response = _with_retry_after(runtime, response)
     request_log.record(
         runtime, caller_request, call, history, response, started
@@ -82,10 +93,14 @@
     response: messages.CallResponse,
 ) -> None:
     """Records how a call of the local target ended, for its further calls."""
+    parent = runtime.running_calls.get(caller_request.parent_id)
+    if parent is not None and response.reports:
+        if parent.reports is None:
+            parent.reports = reports.ReportSum()
+        parent.reports.add(response.reports, runtime.clock.now())
     if response.status >= 500:
         runtime.sub_call_failed_at = runtime.clock.now()
         return
-    parent = runtime.running_calls.get(caller_request.parent_id)
     if parent is not None and response.outcome is outcomes.Outcome.RAN:
         parent.sub_calls_done += 1
 
@@ -120,17 +135,32 @@
                 runtime, outcomes.Reason.UNAUTHENTICATED, 401
             )
         refusal = await _take_token(
-            runtime, organisation, caller_request.request_id
+            runtime,
+            organisation,
+            caller_request.request_id,
+            _left_s(caller_request),
         )
         if refusal is not None:
             return refusal
-    return _make_call(runtime, caller_request, route, organisation, now)
+    call = _make_call(runtime, caller_request, route, organisation, now)
+    if call.context.depth:
+        return call
+    return request_admission.admit(
+        runtime, call, route.target_latency_s, _left_s(caller_request)
+    )
+
+
+def _left_s(caller_request: interfaces.CallerRequest) -> float:
+    """Returns how long the caller will wait."""
+    left_s = caller_request.caller_timeout_s
+    return _DEFAULT_TIMEOUT_S if left_s is None else left_s
 
 
 async def _take_token(
     runtime: runtimes.Runtime,
     organisation: configuration.Organisation,
     request_id: str,
+    left_s: float,
 ) -> messages.CallResponse | None:
     if organisation.account.rate_per_s <= 0:
         return None
@@ -154,7 +184,30 @@
         outcomes.Reason.ORGANISATION_LIMIT,
         429,
         "the organisation's rate is used up",
-        retry_after_ms=max(1, int(retry_after_s * 1000)),
+        retry_after_ms=max(
+            1,
+            int(1000 * _token_due_s(runtime, account, retry_after_s, left_s)),
+        ),
+        is_scheduled=runtime.requests.schedules_returns,
+    )
+
+
+def _token_due_s(
+    runtime: runtimes.Runtime,
+    account: document.Organisation,
+    due_s: float,
+    left_s: float,
+) -> float:
+    """Returns when a caller that got no token should come back."""
+    if not runtime.requests.schedules_returns:
+        return due_s
+    hosts = len(runtime.fleet) + 1
+    return runtime.token_schedule.delay_s(
+        account.name,
+        due_s,
+        account.rate_per_s / hosts,
+        left_s,
+        runtime.clock.now_with_suspend(),
     )
 
 
@@ -166,9 +219,7 @@
     now: float,
 ) -> calls.Call:
     assert runtime.routing is not None
-    time_limit_s = caller_request.caller_timeout_s
-    if time_limit_s is None:
-        time_limit_s = _DEFAULT_TIMEOUT_S
+    time_limit_s = _left_s(caller_request)
     if route.timeout_s:
         time_limit_s = min(time_limit_s, route.timeout_s)
     priority = route.priority
@@ -182,6 +233,7 @@
     depth = 0
     bucket: int | None = None
     stage = 0
+    part = 1.0
     if organisation is None:
         # Without an organisation it is a sub-call, as only targets use routes
         # that need no key.
@@ -196,6 +248,7 @@
             bucket = inherited.bucket
             deadline = min(deadline, inherited.deadline)
             depth = inherited.depth + 1
+            part = inherited.part
             stage = parent.sub_calls_done
     if bucket is None:
         bucket = (
@@ -210,6 +263,7 @@
         deadline=deadline,
         depth=depth,
         at_most_once=not route.is_idempotent,
+        part=part,
     )
     return calls.Call(
         request=caller_request.request,
@@ -284,6 +338,8 @@
     """Adds the Retry-After delay to a refusal."""
     if response.outcome is outcomes.Outcome.RAN:
         return response
+    if response.is_scheduled:
+        return response
     jitter_ms = runtime.rng.random() * _RETRY_AFTER_JITTER_MS
     if response.status == 503:
         delay_ms = _RETRY_AFTER_MS + jitter_ms
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -12,6 +12,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
+from sassafras_policy.calls import reports
 from sassafras_policy.mesh import calls
 from sassafras_wire.http import fields
 
@@ -50,8 +51,11 @@
         return refusal
     gate = target.gate
     admission = await gate.enter(call.context)
+    slot_s = 0.0
     if admission is gates.AdmissionResult.ADMITTED:
+        entered = runtime.clock.now()
         response = await _exchange(runtime, call, target_id, gate, progress)
+        slot_s = runtime.clock.now() - entered
     elif admission is gates.AdmissionResult.LATE:
         response = messages.refusal(
             outcomes.Reason.DEADLINE, 503, "the deadline passed in the queue"
@@ -67,9 +71,29 @@
         max(gate.load, response.load),
         ((call.service, runtime.effective_level(call)),),
         target.cold_s,
+        _with_own_report(call, response, gate.room, slot_s),
     )
 
 
+def _with_own_report(
+    call: calls.Call,
+    response: messages.CallResponse,
+    room: reports.Room | None,
+    slot_s: float,
+) -> tuple[reports.ServiceReport, ...]:
+    """Returns the reports of the sub-calls and that of the call itself."""
+    if room is None:
+        return response.reports
+    own = reports.ServiceReport(call.service, 1, slot_s, room)
+    for below in response.reports:
+        if below.service == call.service:
+            # The service calls itself.
+            total = reports.ReportSum()
+            total.add((own, *response.reports), 0.0)
+            return total.reports(0.0)
+    return (own, *response.reports)
+
+
 async def _exchange(
     runtime: runtimes.Runtime,
     call: calls.Call,
@@ -80,8 +104,9 @@
     front_end = runtime.platform.front_end
     started = runtime.clock.now()
     succeeded = False
+    running = calls.RunningCall(call)
     if call.request_id:
-        runtime.running_calls[call.request_id] = calls.RunningCall(call)
+        runtime.running_calls[call.request_id] = running
     try:
         # Sending does not yield, so a call whose caller has left, or whose
         # deadline has passed, would otherwise still be sent.
@@ -122,6 +147,11 @@
             headers=fields.end_to_end(response.headers, _NO_FIELDS),
             body=response.body,
             sub_call_failed=runtime.sub_call_failed_at >= started,
+            reports=(
+                ()
+                if running.reports is None
+                else running.reports.reports(runtime.clock.now())
+            ),
         )
     except errors.SassafrasError as error:
         if isinstance(error, errors.RefusedError):
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -14,6 +14,8 @@
 _COUNTERS = {
     "requests": "Requests of callers and of the target beside, by their end.",
     "sub_calls": "Requests of the target beside alone, by their end.",
+    "room_refusals": "Requests refused at their first node, by the service"
+    " without room.",
     "calls": "Calls of other nodes, by their end.",
     "withheld_calls": "Calls not sent to the target beside, by the reason.",
     "connections_closed": "Connections closed to make room, by what was full.",
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -18,6 +18,8 @@
 from sassafras_node.peers import target_tracking
 from sassafras_policy.admission import memory as memories
 from sassafras_policy.admission import processor
+from sassafras_policy.admission import returns
+from sassafras_policy.admission import whole_requests
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import roster as rosters
@@ -91,6 +93,9 @@
       call_pools: Connections for calls to other nodes.
       downstream_levels: Admission levels of downstream services; updated by
         responses.
+      requests: Admission of requests by the room of all services behind their
+        routes; updated by responses.
+      token_schedule: When callers without a token were told to come back.
       processor: Admission level of this node's own processor.
       running_calls: Calls that the local target is running, by id.
       drain: Work in flight and planned stop.
@@ -179,6 +184,10 @@
         )
         self.connections.reclaim_from(self.call_pools.close_longest_idle)
         self.downstream_levels = downstream.DownstreamLevels()
+        self.requests = whole_requests.request_policies.get(
+            settings.policy.requests
+        )()
+        self.token_schedule = returns.TokenSchedule()
         self.processor = processor.ProcessorAdmission()
         self.running_calls: dict[str, calls.RunningCall] = {}
         self.drain = drains.make_drain()
@@ -321,8 +330,15 @@
             self.routing.cold_rate_per_s(self.settings.host.target_service)
         )
         self.processor.resize(class_count)
-        self.downstream_levels.keep_routes(
-            frozenset(r.name for r in decoded.routes)
+        route_names = frozenset(r.name for r in decoded.routes)
+        self.downstream_levels.keep_routes(route_names)
+        self.requests.configure(
+            route_names,
+            {
+                organisation.account.name: organisation.account.rate_per_s
+                for organisation in decoded.organisations
+                if organisation.account.rate_per_s > 0
+            },
         )
         self.configure_limiter()
         return True
@@ -499,9 +515,15 @@
 
         Returns:
           The level of this node's processor and that of the service, as far as
-          responses have told it.
+          responses have told it. The latter is open where requests are admitted
+          by the room of the service instead.
         """
         open_level = self.target.gate.open_level
+        if self.requests.covers(call.service, self.clock.now()):
+            return {
+                "processor_level": self.processor.level,
+                "service_level": open_level,
+            }
         service_level = self.downstream_levels.level(
             call.service, call.route, open_level, self.clock.now()
         )
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -13,6 +13,7 @@
 from sassafras_policy.admission import policies
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import reports
 
 # Limits log lines when the level oscillates around the open level.
 _LOG_INTERVAL_S = 10.0
@@ -75,6 +76,11 @@
         """The admission level; calls of this rank and above are refused."""
         return self._policy.level(self._clock.now())
 
+    @property
+    def room(self) -> reports.Room | None:
+        """The room of the target, if its policy reports it."""
+        return self._policy.room(self._clock.now())
+
     @property
     def open_level(self) -> int:
         """The level at which every call is admitted."""
--- a/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
@@ -35,9 +35,23 @@
     target with fewer slots than announced may include queueing from the start.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(
+        self,
+        slots: int,
+        trial_success_share: float = _TRIAL_SUCCESS_SHARE,
+        initial_share: float = _INITIAL_SHARE,
+    ) -> None:
+        """Creates a limit for a target of which no latency is known.
+
+        Args:
+          slots: The announced slots.
+          trial_success_share: A cut is kept if latency falls by this part of
+            it.
+          initial_share: Part of the slots at which the limit starts.
+        """
+        self._trial_success_share = trial_success_share
         self._slots = max(1, slots)
-        self._limit = float(max(1, math.ceil(self._slots * _INITIAL_SHARE)))
+        self._limit = float(max(1, math.ceil(self._slots * initial_share)))
         self._baseline_s = 0.0
         self._trial: tuple[float, int] | None = None
         self._last_trial_at = 0.0
@@ -146,7 +160,8 @@
         latency_before_s, limit_before = self._trial
         self._trial = None
         limit_cut = 1.0 - self.value / limit_before
-        if 1.0 - mean_s / latency_before_s >= _TRIAL_SUCCESS_SHARE * limit_cut:
+        latency_cut = 1.0 - mean_s / latency_before_s
+        if latency_cut >= self._trial_success_share * limit_cut:
             self._baseline_s = min(self._baseline_s, mean_s)
             if self.value > 1:
                 self._begin_trial(mean_s, now)
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -8,6 +8,7 @@
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import reports
 
 # Maximum wait of the more important classes, in service times of the target.
 _MAX_WAIT_SERVICE_TIMES = 2.0
@@ -73,6 +74,10 @@
         """Returns the admission level."""
         ...
 
+    def room(self, now: float) -> reports.Room | None:
+        """Returns the room to report with responses; None to report none."""
+        ...
+
     def resize(self, slots: int, class_count: int) -> None:
         """Changes the numbers of announced slots and of classes."""
         ...
@@ -149,6 +154,11 @@
         del now
         return self._open_level
 
+    def room(self, now: float) -> reports.Room | None:
+        """See AdmissionPolicy."""
+        del now
+        return None
+
     def resize(self, slots: int, class_count: int) -> None:
         """See AdmissionPolicy."""
         self._slots = max(1, slots)
@@ -245,6 +255,11 @@
         """See AdmissionPolicy."""
         return self._levels.value(now)
 
+    def room(self, now: float) -> reports.Room | None:
+        """See AdmissionPolicy."""
+        del now
+        return None
+
     def resize(self, slots: int, class_count: int) -> None:
         """See AdmissionPolicy."""
         self._slots = max(1, slots)
@@ -266,10 +281,10 @@
         self._levels.record_saturation()
         # Refusing a sub-call wastes the work done upstream, so it is only
         # displaced by more important or older calls in the queue.
-        if not context.depth and levels.refuses(level, context):
+        if not context.depth and self._refuses(context, level):
             return Decision(admitted=False, level=level)
         ticket, displaced = self._queue.push(
-            context.priority,
+            self._queue_class(context),
             context.deadline,
             self.limit,
             now,
@@ -323,6 +338,14 @@
         if self._queue.remove(ticket):
             self._levels.record_drop(now - ticket.queued_at)
 
+    def _refuses(self, context: messages.CallContext, level: int) -> bool:
+        """Returns whether a call that finds no slot may not wait for one."""
+        return levels.refuses(level, context)
+
+    def _queue_class(self, context: messages.CallContext) -> int:
+        """Returns the class in which a call waits."""
+        return context.priority
+
     def _max_wait_s(self, context: messages.CallContext, now: float) -> float:
         """Returns how long a call may wait.
 
--- a/packages/sassafras-policy/src/sassafras_policy/admission/queueing.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/queueing.py
@@ -74,6 +74,10 @@
         bisect.insort(self._tickets, ticket)
         return ticket, displaced
 
+    def would_lead(self, priority: int) -> bool:
+        """Returns whether a call is more important than all that wait."""
+        return not self._tickets or priority < self._tickets[0].priority
+
     def pop(self) -> Ticket | None:
         """Removes and returns the next call, or None."""
         return self._tickets.pop(0) if self._tickets else None
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import reports as service_reports
 
 BUCKET_COUNT = 128
 
@@ -69,6 +70,7 @@
         useless.
       depth: 0 for the root request, one more for each level of sub-calls.
       at_most_once: Whether the call must never run twice.
+      part: The part of such root requests that its first node admits.
     """
 
     root_id: str
@@ -78,6 +80,7 @@
     deadline: float
     depth: int
     at_most_once: bool
+    part: float = 1.0
 
     @property
     def rank(self) -> int:
@@ -104,6 +107,9 @@
       retryable: Whether another target of the service may be tried.
       sub_call_failed: Whether a sub-call of the target failed, so that an
         error is not the target's own.
+      reports: Calls and room of each service that the request reached.
+      is_scheduled: Whether the Retry-After delay was chosen for this caller
+        alone, so that it needs no jitter.
     """
 
     outcome: outcomes.Outcome
@@ -118,9 +124,15 @@
     leaving: bool = False
     retryable: bool = False
     sub_call_failed: bool = False
+    reports: tuple[service_reports.ServiceReport, ...] = ()
+    is_scheduled: bool = False
 
     def at_target(
-        self, load: float, levels: tuple[tuple[str, int], ...], cold_s: float
+        self,
+        load: float,
+        levels: tuple[tuple[str, int], ...],
+        cold_s: float,
+        reports: tuple[service_reports.ServiceReport, ...] = (),
     ) -> "CallResponse":
         """Returns the response with the state of the target.
 
@@ -139,6 +151,8 @@
             leaving=self.leaving,
             retryable=self.retryable,
             sub_call_failed=self.sub_call_failed,
+            reports=reports,
+            is_scheduled=self.is_scheduled,
         )
 
 
@@ -148,6 +162,7 @@
     detail: str,
     *,
     retry_after_ms: int = 0,
+    is_scheduled: bool = False,
     retryable: bool = False,
 ) -> CallResponse:
     """Returns a response to a request that did not run."""
@@ -158,6 +173,7 @@
         headers=(("content-type", "text/plain; charset=utf-8"),),
         body=f"not run: {detail}\n".encode(),
         retry_after_ms=retry_after_ms,
+        is_scheduled=is_scheduled,
         retryable=retryable,
     )
 
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/calls.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import reports as service_reports
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,10 +44,13 @@
     Attributes:
       call: The call.
       sub_calls_done: How many calls it has made that succeeded.
+      reports: Calls and room of the services below it; None while no response
+        has told any.
     """
 
     call: Call
     sub_calls_done: int = 0
+    reports: service_reports.ReportSum | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -10,6 +10,7 @@
 from sassafras_base import errors
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import reports
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import link_messages
@@ -17,6 +18,15 @@
 from sassafras_wire.peer import codec
 from sassafras_wire.peer import models
 
+# Bounds on reports. Beyond the pressure and the wait, decisions would be the
+# same; the others are far above what a request of any deployment needs.
+_MAX_REPORTS = 32
+_MAX_CALLS = 10_000
+_MAX_SLOT_S = 600.0
+_MAX_PRESSURE = 4.0
+_MAX_DEMAND = 16.0
+_MAX_WAIT_S = 5.0
+
 
 @models.message_types.register("mesh_call")
 class CallMessage(models.Message):
@@ -33,6 +43,7 @@
       priority: Rank of its class; 0 is the most important.
       bucket: Admission bucket within its class.
       depth: Number of upstream calls; 0 for a root request.
+      part: Thousandths of such root requests that its first node admits.
       is_idempotent: Whether it may run more than once.
       method: HTTP method.
       path: Path and query.
@@ -51,6 +62,7 @@
     priority: int = pydantic.Field(ge=0)
     bucket: int = pydantic.Field(ge=0, lt=messages.BUCKET_COUNT)
     depth: int = pydantic.Field(ge=0)
+    part: int = pydantic.Field(default=1000, ge=0, le=1000)
     is_idempotent: bool
     method: str
     path: str
@@ -76,6 +88,9 @@
       is_last: Whether the node accepts no more calls on this connection.
       entry: The node's entry, where it does not have the target that the
         sending node selected.
+      reports: For each service that the call reached: its name, the calls, the
+        slot time in ms, pressure and demand in thousandths, and the wait and
+        the age of the last three in ms. Empty at nodes that report no room.
     """
 
     type: Literal["mesh_answer"] = "mesh_answer"
@@ -90,6 +105,7 @@
     sub_call_failed: bool = False
     is_last: bool = False
     entry: link_messages.NodeEntryModel | None = None
+    reports: tuple[tuple[str, int, int, int, int, int, int], ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,6 +152,8 @@
     }
     if call.organisation:
         content["organisation"] = call.organisation
+    if context.part < 1.0:
+        content["part"] = int(context.part * 1000)
     if request.body:
         content["body"] = request.body
     return cbor2.dumps(content)
@@ -205,6 +223,7 @@
             deadline=min(now + message.remaining_ms / 1000, latest_deadline),
             depth=message.depth,
             at_most_once=not message.is_idempotent,
+            part=message.part / 1000,
         ),
         is_idempotent=message.is_idempotent,
         route=message.route,
@@ -241,6 +260,19 @@
         content["cold_s"] = response.cold_s
     if response.sub_call_failed:
         content["sub_call_failed"] = True
+    if response.reports:
+        content["reports"] = [
+            (
+                report.service,
+                report.calls,
+                int(report.slot_s * 1000),
+                int(report.room.pressure * 1000),
+                int(report.room.demand * 1000),
+                int(report.room.wait_s * 1000),
+                int(report.age_s * 1000),
+            )
+            for report in response.reports
+        ]
     if is_last:
         content["is_last"] = True
     if entry is not None:
@@ -266,4 +298,36 @@
         cold_s=message.cold_s,
         levels=() if level is None else ((service, level),),
         sub_call_failed=message.sub_call_failed,
+        reports=_to_reports(message) if message.reports else (),
+    )
+
+
+def _to_reports(message: AnswerMessage) -> tuple[reports.ServiceReport, ...]:
+    """Returns the plausible reports of a response, bounded in size and value.
+
+    A node that reports nonsense must not close a service for all others.
+    """
+    return tuple(
+        reports.ServiceReport(
+            service,
+            min(calls_made, _MAX_CALLS),
+            min(slot_ms / 1000, _MAX_SLOT_S),
+            reports.Room(
+                min(pressure / 1000, _MAX_PRESSURE),
+                min(wait_ms / 1000, _MAX_WAIT_S),
+                min(demand / 1000, _MAX_DEMAND),
+            ),
+            age_ms / 1000,
+        )
+        for (
+            service,
+            calls_made,
+            slot_ms,
+            pressure,
+            demand,
+            wait_ms,
+            age_ms,
+        ) in message.reports[:_MAX_REPORTS]
+        if calls_made > 0
+        and min(slot_ms, pressure, demand, wait_ms, age_ms) >= 0
     )
--- a/packages/sassafras-wire/src/sassafras_wire/settings/node.py
+++ b/packages/sassafras-wire/src/sassafras_wire/settings/node.py
@@ -7,6 +7,7 @@
 
 from sassafras_base import registry
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import whole_requests
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
 from sassafras_policy.retries import policies as retry_policies
@@ -126,6 +127,9 @@
     admission: Annotated[str, _registered(policies.admission_policies)] = (
         "adaptive"
     )
+    requests: Annotated[str, _registered(whole_requests.request_policies)] = (
+        "levels"
+    )
     limiter: Annotated[str, _registered(limiters.limiters)] = "token-escrow"
     retries: Annotated[str, _registered(retry_policies.retry_policies)] = (
         "budgeted"
--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -54,6 +54,7 @@
       machines: Machines by name.
       endpoints: Endpoints by the name of their machine.
       nodes: Runtimes of the nodes by the name of their machine.
+      policy: Policies of the nodes that are started from now on.
     """
 
     def __init__(
@@ -67,6 +68,9 @@
         self.machines: dict[str, machines.Machine] = {}
         self.endpoints: dict[str, endpoint.Endpoint] = {}
         self.nodes: dict[str, runtimes.Runtime] = {}
+        self.policy = node_settings.PolicySection(
+            admission="adaptive", limiter="pooled-share"
+        )
         self._scopes: dict[str, trio.CancelScope] = {}
         self._ended: dict[str, trio.Event] = {}
         self._nursery = nursery
@@ -98,9 +102,7 @@
         path.write_bytes(machine.boot_file(self.store_address))
         settings = boot.load(
             path,
-            node_settings.PolicySection(
-                admission="adaptive", limiter="pooled-share"
-            ),
+            self.policy,
         )
         platform = interfaces.Platform(
             store=platform_store.Store(self.store_address),
