Wait after trials of the limit that failed

Cause: each rise of the latency starts a trial that cuts an eighth, also where the speed of the machine changes several times a second. Change: the policy 'deadline' doubles the time without trials after each that failed, and keeps a cut only if the throughput stays; default policies as before. The default policies ask for no admission of whole requests.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -72,7 +72,7 @@
         response = await dispatch.dispatch(runtime, call, history)
         if call.context.depth:
             _record_sub_call(runtime, caller_request, response)
-        else:
+        elif runtime.requests.is_active:
             runtime.requests.record_response(
                 call.route,
                 call.service,
@@ -143,7 +143,7 @@
         if refusal is not None:
             return refusal
     call = _make_call(runtime, caller_request, route, organisation, now)
-    if call.context.depth:
+    if call.context.depth or not runtime.requests.is_active:
         return call
     return request_admission.admit(
         runtime, call, route.target_latency_s, _left_s(caller_request)
@@ -188,7 +188,7 @@
             1,
             int(1000 * _token_due_s(runtime, account, retry_after_s, left_s)),
         ),
-        is_scheduled=runtime.requests.schedules_returns,
+        is_scheduled=runtime.requests.is_active,
     )
 
 
@@ -199,7 +199,7 @@
     left_s: float,
 ) -> float:
     """Returns when a caller that got no token should come back."""
-    if not runtime.requests.schedules_returns:
+    if not runtime.requests.is_active:
         return due_s
     hosts = len(runtime.fleet) + 1
     return runtime.token_schedule.delay_s(
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -53,9 +53,10 @@
     admission = await gate.enter(call.context)
     slot_s = 0.0
     if admission is gates.AdmissionResult.ADMITTED:
-        entered = runtime.clock.now()
+        entered = runtime.clock.now() if gate.reports_room else 0.0
         response = await _exchange(runtime, call, target_id, gate, progress)
-        slot_s = runtime.clock.now() - entered
+        if gate.reports_room:
+            slot_s = runtime.clock.now() - entered
     elif admission is gates.AdmissionResult.LATE:
         response = messages.refusal(
             outcomes.Reason.DEADLINE, 503, "the deadline passed in the queue"
@@ -71,7 +72,9 @@
         max(gate.load, response.load),
         ((call.service, runtime.effective_level(call)),),
         target.cold_s,
-        _with_own_report(call, response, gate.room, slot_s),
+        _with_own_report(call, response, gate.room, slot_s)
+        if gate.reports_room
+        else response.reports,
     )
 
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -519,7 +519,9 @@
           by the room of the service instead.
         """
         open_level = self.target.gate.open_level
-        if self.requests.covers(call.service, self.clock.now()):
+        if self.requests.is_active and self.requests.covers(
+            call.service, self.clock.now()
+        ):
             return {
                 "processor_level": self.processor.level,
                 "service_level": open_level,
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -49,7 +49,11 @@
 
 
 class AdmissionGate:
-    """Admits calls to one target in the order of its admission policy."""
+    """Admits calls to one target in the order of its admission policy.
+
+    Attributes:
+      reports_room: Whether the policy measures the room of the target.
+    """
 
     def __init__(
         self, policy: policies.AdmissionPolicy, clock: clocks.Clock
@@ -57,6 +61,7 @@
         self._policy = policy
         self._clock = clock
         self._waiters: dict[queueing.Ticket, _Waiter] = {}
+        self.reports_room = policy.room(clock.now()) is not None
         self._is_closed = False
         self._overloaded = False
         self._logged_at = -_LOG_INTERVAL_S
--- a/packages/sassafras-policy/src/sassafras_policy/admission/by_deadline.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/by_deadline.py
@@ -7,9 +7,10 @@
 from sassafras_policy.calls import reports
 
 # A cut of the limit is kept if it costs at most this part of the throughput.
-# With half of the cut allowed, a target that gets a little slower when it is
-# nearly full lost a sixth of its slots to trials that were kept.
 _MAX_THROUGHPUT_LOSS = 0.1
+# On machines whose speed changes several times a second, latency rises without
+# a queue, and a trial after each rise cost a twelfth of the throughput.
+_TRIAL_BACKOFF_S = 0.5
 
 
 @policies.admission_policies.register("deadline")
@@ -26,6 +27,7 @@
         self._limit = concurrency.ConcurrencyLimit(
             slots,
             trial_success_share=1.0 - _MAX_THROUGHPUT_LOSS,
+            trial_backoff_s=_TRIAL_BACKOFF_S,
             # Room is measured against the limit, which would not rise before
             # requests had been refused for it.
             initial_share=1.0,
--- a/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/concurrency.py
@@ -40,6 +40,7 @@
         slots: int,
         trial_success_share: float = _TRIAL_SUCCESS_SHARE,
         initial_share: float = _INITIAL_SHARE,
+        trial_backoff_s: float = 0.0,
     ) -> None:
         """Creates a limit for a target of which no latency is known.
 
@@ -48,8 +49,13 @@
           trial_success_share: A cut is kept if latency falls by this part of
             it.
           initial_share: Part of the slots at which the limit starts.
+          trial_backoff_s: Time without trials after one that failed; doubled
+            with each further one.
         """
         self._trial_success_share = trial_success_share
+        self._trial_backoff_s = trial_backoff_s
+        self._backoff_s = trial_backoff_s
+        self._next_trial_at = 0.0
         self._slots = max(1, slots)
         self._limit = float(max(1, math.ceil(self._slots * initial_share)))
         self._baseline_s = 0.0
@@ -128,7 +134,7 @@
     ) -> None:
         self._update_baseline(mean_s)
         self._last_trial_at = self._last_trial_at or now
-        if saturated and self.value > 1:
+        if saturated and self.value > 1 and now >= self._next_trial_at:
             trial_due = now - self._last_trial_at >= _TRIAL_INTERVAL_S
             if trial_due or self._is_slow(mean_s):
                 self._begin_trial(mean_s, now)
@@ -162,10 +168,13 @@
         limit_cut = 1.0 - self.value / limit_before
         latency_cut = 1.0 - mean_s / latency_before_s
         if latency_cut >= self._trial_success_share * limit_cut:
+            self._backoff_s = self._trial_backoff_s
             self._baseline_s = min(self._baseline_s, mean_s)
             if self.value > 1:
                 self._begin_trial(mean_s, now)
             return
+        self._next_trial_at = now + self._backoff_s
+        self._backoff_s = min(_TRIAL_INTERVAL_S, 2 * self._backoff_s)
         self._baseline_s = mean_s
         self._limit = float(min(limit_before, self._slots))
 
--- a/packages/sassafras-policy/src/sassafras_policy/admission/whole_requests.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/whole_requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from typing import ClassVar
 from typing import Protocol
 
 from sassafras_base import registry
@@ -67,12 +68,13 @@
 
 
 class RequestAdmission(Protocol):
-    """Decides once, at its first node, whether a request is admitted."""
+    """Decides once, at its first node, whether a request is admitted.
 
-    @property
-    def schedules_returns(self) -> bool:
-        """Whether each refused caller is told a time of its own."""
-        ...
+    Attributes:
+      is_active: Whether it refuses any; otherwise it need not be asked.
+    """
+
+    is_active: ClassVar[bool]
 
     @property
     def admitted_shares(self) -> dict[str, float]:
@@ -122,10 +124,7 @@
 class LevelsOnly:
     """Admits what the admission levels of services let pass."""
 
-    @property
-    def schedules_returns(self) -> bool:
-        """See RequestAdmission."""
-        return False
+    is_active: ClassVar[bool] = False
 
     @property
     def admitted_shares(self) -> dict[str, float]:
@@ -172,6 +171,8 @@
     whatever zone they are in.
     """
 
+    is_active: ClassVar[bool] = True
+
     def __init__(self) -> None:
         self._fan_out = fan_out.FanOut()
         self._caller_times = returns.CallerTimes()
@@ -183,11 +184,6 @@
         self._divisions: dict[str, shares.Division] = {}
         self._stepped_at = -math.inf
 
-    @property
-    def schedules_returns(self) -> bool:
-        """See RequestAdmission."""
-        return True
-
     @property
     def admitted_shares(self) -> dict[str, float]:
         """See RequestAdmission."""
