--- a/tests/mesh/test_whole_requests.py
+++ b/tests/mesh/test_whole_requests.py
@@ -173,6 +173,46 @@
     _check_ranks(after)
 
 
+def test_callers_that_return_together_find_room():
+    """Guards against a second burst of those who were refused in the first."""
+    kinds = ("lookup", "book", "upload", "board")
+    phases = [({}, 3.0), (dict.fromkeys(kinds, 8.0), 0.5), ({}, 6.0)]
+    (before, _), (after, _) = _compare(0.8, phases)
+    assert _total(after)["failed"] <= 0.75 * _total(before)["failed"], after
+    assert _total(after)["in_time"] >= _total(before)["in_time"], after
+    _check_ranks(after)
+
+
+async def _report_falsely(fleet):
+    """One of the four targets claims to be idle all the time."""
+    gate = fleet.services["view"][0].gate
+    gate._policy.room = lambda now: reports.Room(0.0, 0.0, 0.0)
+
+
+def test_a_false_report_counts_with_its_part():
+    """Guards against a service that is flooded on the word of one node."""
+    (before, _), (after, _) = _compare(
+        1.2, [({}, 10.0)], disturb=_report_falsely
+    )
+    assert _total(after)["failed"] <= 0.75 * _total(before)["failed"], after
+    assert _total(after)["in_time"] >= _total(before)["in_time"], after
+    _check_ranks(after)
+
+
+async def _report_nothing(fleet):
+    """The targets of the scarce service are of an earlier version."""
+    for target in fleet.services["view"]:
+        target.gate._policy.room = lambda now: None
+
+
+def test_without_reports_the_level_decides():
+    """Guards against a fleet of two versions that refuses nothing."""
+    (before, _), (after, _) = _compare(
+        1.2, [({}, 10.0)], disturb=_report_nothing
+    )
+    assert _total(after)["in_time"] >= 0.9 * _total(before)["in_time"], after
+
+
 def _report(demand):
     return reports.ServiceReport(
         "view", 4, 0.25, reports.Room(min(demand, 1.0), 0.0, demand)
