Let no organisation starve for the others of its class

Cause: by weight alone, a large organisation could be left with less than a quarter of what the others get, and one without a rate was taken for a small one. Change: organisations keep 0.35 of the part of their class; those without a rate weigh as much as the largest.

--- a/packages/sassafras-policy/src/sassafras_policy/admission/shares.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/shares.py
@@ -9,6 +9,9 @@
 # least. Without it, all requests of the least important class were refused as
 # soon as more than its part was missing.
 _FLOOR = 0.7
+# The same for an organisation within its class. Operators hold an organisation
+# for starved that is served a quarter as often as all.
+_ORGANISATION_FLOOR = 0.35
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,8 +59,8 @@
     """Divides a share of the work by class, then among organisations.
 
     More important classes are served first, but the others keep a floor.
-    Within a class, organisations get equal amounts by weight as far as they
-    ask for them, so that a burst of one is paid for by itself.
+    Within a class, organisations get equal amounts by weight above a floor, as
+    far as they ask for them, so that a burst of one is paid for by itself.
 
     Args:
       askers: Who asks for how much.
@@ -80,29 +83,23 @@
         returned = sum(asker.returned for asker in classes[priority])
         division.by_class[priority] = _first_part(part, total, returned)
         if part < 1.0:
-            _divide_class(classes[priority], part * total, division)
+            _divide_class(classes[priority], part, division)
     return division
 
 
-def _divide_class(askers: list[Asker], work: float, division: Division) -> None:
-    """Finds the amount by weight at which the work is used up."""
+def _divide_class(askers: list[Asker], part: float, division: Division) -> None:
+    """Divides a part of the work of a class among organisations."""
+    floor = _ORGANISATION_FLOOR * part
+    left = (part - floor) * sum(asker.work for asker in askers)
     weight_left = sum(asker.weight for asker in askers)
-    by_need = sorted(askers, key=lambda asker: asker.work / asker.weight)
-    for position, asker in enumerate(by_need):
-        amount = work / weight_left
-        if asker.work > amount * asker.weight:
-            for other in by_need[position:]:
-                division.by_asker[other.priority, other.organisation] = (
-                    _first_part(
-                        amount * other.weight / other.work,
-                        other.work,
-                        other.returned,
-                    )
-                )
-            return
-        division.by_asker[asker.priority, asker.organisation] = 1.0
-        work -= asker.work
+    for asker in sorted(askers, key=lambda each: each.work / each.weight):
+        wanted = (1.0 - floor) * asker.work
+        given = min(wanted, left * asker.weight / weight_left)
+        left -= given
         weight_left -= asker.weight
+        division.by_asker[asker.priority, asker.organisation] = _first_part(
+            floor + given / asker.work, asker.work, asker.returned
+        )
 
 
 def _first_part(part: float, work: float, returned: float) -> float:
--- a/packages/sassafras-policy/src/sassafras_policy/admission/whole_requests.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/whole_requests.py
@@ -180,6 +180,7 @@
         self._offered: dict[tuple[str, str, int, str, bool], float] = {}
         self._recent: dict[tuple[str, str], float] = {}
         self._weights: dict[str, float] = {}
+        self._default_weight = 1.0
         self._shares: dict[str, float] = {}
         self._divisions: dict[str, shares.Division] = {}
         self._stepped_at = -math.inf
@@ -196,6 +197,8 @@
         self._fan_out.keep_routes(routes)
         self._caller_times.keep_routes(routes)
         self._weights = weights
+        # One without a rate may ask for as much as the largest of the others.
+        self._default_weight = max(weights.values(), default=1.0)
 
     def decide(self, ask: Ask, now: float) -> Shortage | float:
         """See RequestAdmission."""
@@ -314,7 +317,7 @@
         for key, count in self._offered.items():
             route, first, priority, organisation, is_return = key
             cost = self._fan_out.costs(route, first).get(service)
-            if cost is not None:
+            if cost is not None and cost.slot_s >= _MIN_SLOT_S:
                 sums = work.setdefault((priority, organisation), [0.0, 0.0])
                 sums[0] += count * cost.slot_s
                 if is_return:
@@ -325,7 +328,7 @@
                 organisation,
                 total,
                 returned,
-                self._weights.get(organisation, 1.0),
+                self._weights.get(organisation, self._default_weight),
             )
             for (priority, organisation), (total, returned) in work.items()
         ]
