Decode the reports of responses without their model

Cause: answers with fields that the plain decoder does not know go through the model, and calls lost the part that is admitted. Change: the plain decoder reads both. Measured: tests/properties/test_plain_calls.py passes with both fields. Conclusion: reports do not cost a validation for each answer.

--- a/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/call_messages.py
@@ -105,7 +105,7 @@
     sub_call_failed: bool = False
     is_last: bool = False
     entry: link_messages.NodeEntryModel | None = None
-    reports: tuple[tuple[str, int, int, int, int, int, int], ...] = ()
+    reports: plain_calls.Reports = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -302,7 +302,7 @@
     )
 
 
-def _to_reports(message: AnswerMessage) -> tuple[reports.ServiceReport, ...]:
+def _to_reports(message: Answer) -> tuple[reports.ServiceReport, ...]:
     """Returns the plausible reports of a response, bounded in size and value.
 
     A node that reports nonsense must not close a service for all others.
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/plain_calls.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/plain_calls.py
@@ -19,6 +19,10 @@
 _REASONS = {str(reason.value): reason for reason in outcomes.Reason}
 
 
+Reports = tuple[tuple[str, int, int, int, int, int, int], ...]
+_REPORT_TYPES = [str, int, int, int, int, int, int]
+
+
 @dataclasses.dataclass(slots=True)
 class Call:
     """The fields of a `CallMessage`; see there."""
@@ -38,6 +42,7 @@
     path: str
     headers: messages.Headers
     body: bytes
+    part: int = 1000
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +58,7 @@
     level: int | None
     sub_call_failed: bool
     is_last: bool
+    reports: Reports = ()
     cold_s: float = 0.0
     entry: None = None
 
@@ -70,6 +76,7 @@
         "level",
         "sub_call_failed",
         "is_last",
+        "reports",
     ]
 )
 
@@ -96,6 +103,7 @@
         get("path"),
         (),
         get("body", b""),
+        get("part", 1000),
     )
     headers = _read_headers(get("headers", ()))
     if (
@@ -112,11 +120,13 @@
         or type(call.priority) is not int
         or type(call.bucket) is not int
         or type(call.depth) is not int
+        or type(call.part) is not int
         or type(call.is_idempotent) is not bool
         or type(call.body) is not bytes
         or call.priority < 0
         or not 0 <= call.bucket < messages.BUCKET_COUNT
         or call.depth < 0
+        or not 0 <= call.part <= 1000
     ):
         return None
     call.headers = headers
@@ -136,7 +146,13 @@
     known_outcome = _OUTCOMES.get(outcome)
     known_reason = _REASONS.get(reason)
     headers = _read_headers(get("headers", ()))
-    if known_outcome is None or known_reason is None or headers is None:
+    reports = _read_reports(fields["reports"]) if "reports" in fields else ()
+    if (
+        known_outcome is None
+        or known_reason is None
+        or headers is None
+        or reports is None
+    ):
         return None
     answer = Answer(
         known_outcome,
@@ -148,6 +164,7 @@
         get("level"),
         get("sub_call_failed", False),
         get("is_last", False),
+        reports,
     )
     if (
         type(answer.status) is not int
@@ -173,6 +190,16 @@
     return fields
 
 
+def _read_reports(items: object) -> Reports | None:
+    """Returns reports; None if they have not the usual form."""
+    if type(items) is not list:
+        return None
+    for item in items:
+        if type(item) is not list or [type(e) for e in item] != _REPORT_TYPES:
+            return None
+    return tuple([tuple(item) for item in items])
+
+
 def _read_headers(pairs: object) -> messages.Headers | None:
     """Returns header fields; None if they are not pairs of texts."""
     if type(pairs) is not list:
--- a/tests/properties/test_plain_calls.py
+++ b/tests/properties/test_plain_calls.py
@@ -30,6 +30,9 @@
         [["a"]],
         [["a", 1]],
         [["a", "b", "c"]],
+        [["a", 1, 2, 3, 4, 5, 6]],
+        [["a", 1, 2, 3, 4, 5, True]],
+        [["a", 1, 2, 3, 4, 5, 6.0]],
         {},
     ]
 )
@@ -45,6 +48,7 @@
     "priority": 1,
     "bucket": 3,
     "depth": 0,
+    "part": 500,
     "is_idempotent": False,
     "method": "GET",
     "path": "/",
@@ -63,6 +67,7 @@
     "level": 7,
     "sub_call_failed": True,
     "is_last": True,
+    "reports": [["s", 1, 250, 900, 1200, 10, 40]],
 }
 _SETTINGS = hypothesis.settings(max_examples=1000, deadline=None)
 
