--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -110,6 +110,10 @@
                 "Expected time of a call at the target, of the slowest route.",
                 1000 * runtime.target.performance.longest_s,
             ),
+            "admitted_share": (
+                "Part of the requests that fits into the scarcest service.",
+                min(runtime.requests.admitted_shares.values(), default=1.0),
+            ),
             "admission_level": (
                 "Calls of this rank and above are refused.",
                 gate.level,
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -13,6 +13,7 @@
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import progress as progresses
+from sassafras_policy.calls import reports
 from sassafras_policy.mesh import calls
 from sassafras_wire.http import fields
 
@@ -53,8 +54,12 @@
     if not target.performance.has_begun:
         target.performance.begin(call.usual_s)
     admission = await gate.enter(call.context)
+    slot_s = 0.0
     if admission is gates.AdmissionResult.ADMITTED:
+        entered = runtime.clock.now() if gate.reports_room else 0.0
         response = await _exchange(runtime, call, target_id, gate, progress)
+        if gate.reports_room:
+            slot_s = runtime.clock.now() - entered
     elif admission is gates.AdmissionResult.LATE:
         response = messages.refusal(
             outcomes.Reason.DEADLINE, 503, "the deadline passed in the queue"
@@ -74,9 +79,31 @@
         ((call.service, runtime.effective_level(call)),),
         target.cold_s,
         report,
+        _with_own_report(call, response, gate.room, slot_s)
+        if gate.reports_room
+        else response.reports,
     )
 
 
+def _with_own_report(
+    call: calls.Call,
+    response: messages.CallResponse,
+    room: reports.Room | None,
+    slot_s: float,
+) -> tuple[reports.ServiceReport, ...]:
+    """Returns the reports of the sub-calls and that of the call itself."""
+    if room is None:
+        return response.reports
+    own = reports.ServiceReport(call.service, 1, slot_s, room)
+    for below in response.reports:
+        if below.service == call.service:
+            # The service calls itself.
+            total = reports.ReportSum()
+            total.add((own, *response.reports), 0.0)
+            return total.reports(0.0)
+    return (own, *response.reports)
+
+
 async def _exchange(
     runtime: runtimes.Runtime,
     call: calls.Call,
@@ -92,8 +119,9 @@
     # Whether the target answered well; None if the call does not show it.
     succeeded: bool | None = None
     is_late = False
+    running = calls.RunningCall(call)
     if call.request_id:
-        runtime.running_calls[call.request_id] = calls.RunningCall(call)
+        runtime.running_calls[call.request_id] = running
     try:
         # Sending does not yield, so a call whose caller has left, or whose
         # deadline has passed, would otherwise still be sent.
@@ -141,6 +169,11 @@
             headers=fields.end_to_end(response.headers, _NO_FIELDS),
             body=response.body,
             sub_call_failed=sub_call_failed,
+            reports=(
+                ()
+                if running.reports is None
+                else running.reports.reports(runtime.clock.now())
+            ),
         )
     except errors.SassafrasError as error:
         if isinstance(error, errors.RefusedError):
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -13,6 +13,7 @@
 from sassafras_policy.admission import policies
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
+from sassafras_policy.calls import reports
 
 # Limits log lines when the level oscillates around the open level.
 _LOG_INTERVAL_S = 10.0
@@ -48,7 +49,11 @@
 
 
 class AdmissionGate:
-    """Admits calls to one target in the order of its admission policy."""
+    """Admits calls to one target in the order of its admission policy.
+
+    Attributes:
+      reports_room: Whether the policy measures the room of the target.
+    """
 
     def __init__(
         self, policy: policies.AdmissionPolicy, clock: clocks.Clock
@@ -56,6 +61,7 @@
         self._policy = policy
         self._clock = clock
         self._waiters: dict[queueing.Ticket, _Waiter] = {}
+        self.reports_room = policy.room(clock.now()) is not None
         self._is_closed = False
         self._overloaded = False
         self._logged_at = -_LOG_INTERVAL_S
@@ -99,6 +105,11 @@
         """The admission level; calls of this rank and above are refused."""
         return self._policy.level(self._clock.now())
 
+    @property
+    def room(self) -> reports.Room | None:
+        """The room of the target, if its policy reports it."""
+        return self._policy.room(self._clock.now())
+
     @property
     def open_level(self) -> int:
         """The level at which every call is admitted."""
--- a/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
+++ b/packages/sassafras-policy/src/sassafras_policy/calls/messages.py
@@ -8,6 +8,7 @@
 
 from sassafras_policy.balancing import load_reports
 from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import reports as service_reports
 
 BUCKET_COUNT = 128
 
@@ -70,6 +71,7 @@
         useless.
       depth: 0 for the root request, one more for each level of sub-calls.
       at_most_once: Whether the call must never run twice.
+      part: The part of such root requests that its first node admits.
     """
 
     root_id: str
@@ -79,6 +81,7 @@
     deadline: float
     depth: int
     at_most_once: bool
+    part: float = 1.0
 
     @property
     def rank(self) -> int:
@@ -107,6 +110,9 @@
         error is not the target's own.
       report: Limit and service time of that target; None where the balancer
         uses none.
+      reports: Calls and room of each service that the request reached.
+      is_scheduled: Whether the Retry-After delay was chosen for this caller
+        alone, so that it needs no jitter.
     """
 
     outcome: outcomes.Outcome
@@ -122,6 +128,8 @@
     retryable: bool = False
     sub_call_failed: bool = False
     report: load_reports.TargetReport | None = None
+    reports: tuple[service_reports.ServiceReport, ...] = ()
+    is_scheduled: bool = False
 
     def at_target(
         self,
@@ -129,6 +137,7 @@
         levels: tuple[tuple[str, int], ...],
         cold_s: float,
         report: load_reports.TargetReport | None = None,
+        reports: tuple[service_reports.ServiceReport, ...] = (),
     ) -> "CallResponse":
         """Returns the response with the state of the target.
 
@@ -148,6 +157,8 @@
             retryable=self.retryable,
             sub_call_failed=self.sub_call_failed,
             report=report,
+            reports=reports,
+            is_scheduled=self.is_scheduled,
         )
 
 
@@ -157,6 +168,7 @@
     detail: str,
     *,
     retry_after_ms: int = 0,
+    is_scheduled: bool = False,
     retryable: bool = False,
 ) -> CallResponse:
     """Returns a response to a request that did not run."""
@@ -167,6 +179,7 @@
         headers=(("content-type", "text/plain; charset=utf-8"),),
         body=f"not run: {detail}\n".encode(),
         retry_after_ms=retry_after_ms,
+        is_scheduled=is_scheduled,
         retryable=retryable,
     )
 
