Make no function calls for cold targets where no rate is stated

Cause. tests/mesh/test_visit_counts.py counted 123.5 of our own function calls at the second node of a call; its budget is 120. The checks of cold and closed targets are guarded by attribute reads. Measured. tests/mesh/test_visit_counts.py: at the second node within its budget now.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -186,7 +186,9 @@
     if (
         is_own
         and runtime.target.gate.load < 1.0
-        and not runtime.target.is_cold
+        and not (
+            runtime.target.cold_start.rate_per_s and runtime.target.is_cold
+        )
         and not runtime.target_tracker.is_ejected(own.node_id)
         and not _must_avoid(runtime, call, own.node_id)
     ):
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -45,9 +45,11 @@
         return messages.refusal(
             outcomes.Reason.LEAVING, 503, "the target takes no calls"
         )
-    refusal = _refuse_unsent(runtime, call)
-    if refusal is not None:
-        return refusal
+    # Most targets are neither; a function call costs each visit of a call.
+    if runtime.evacuations.closes_own_zone or target.cold_start.rate_per_s:
+        refusal = _refuse_unsent(runtime, call)
+        if refusal is not None:
+            return refusal
     gate = target.gate
     admission = await gate.enter(call.context)
     if admission is gates.AdmissionResult.ADMITTED:
@@ -66,7 +68,7 @@
     return response.at_target(
         max(gate.load, response.load),
         ((call.service, runtime.effective_level(call)),),
-        target.cold_s,
+        target.cold_s if target.cold_start.rate_per_s else 0.0,
     )
 
 
@@ -90,11 +92,12 @@
             return deadline_passed(progress)
         # The target may have become cold, or its zone been evacuated, while
         # the call waited for a slot.
-        refusal = _refuse_unsent(runtime, call)
-        if refusal is not None:
-            return refusal
-        if runtime.target.cold_start.rate_per_s:
-            runtime.target.cold_start.record_call(started)
+        cold_start = runtime.target.cold_start
+        if runtime.evacuations.closes_own_zone or cold_start.rate_per_s:
+            refusal = _refuse_unsent(runtime, call)
+            if refusal is not None:
+                return refusal
+            cold_start.record_call(started)
         response = await runtime.target.pool.exchange(
             front_end.target_request(
                 call, target_id, call.context.deadline - started
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -50,7 +50,8 @@
         tracked = self._targets.get(node_id) or self._tracked(node_id)
         target = tracked.health
         now = self._clock.now()
-        target.record_cold(response.cold_s, now)
+        if response.cold_s or target.cold_until:
+            target.record_cold(response.cold_s, now)
         rejected = response.reason is outcomes.Reason.TURNED_AWAY
         if rejected or response.outcome is outcomes.Outcome.RAN:
             target.record_rejection(rejected, now)
@@ -136,7 +137,7 @@
             errors=target.errors(now),
             ejected=target.is_ejected(now),
             rejected_share=target.rejected_share(now),
-            cold=target.is_cold(now),
+            cold=now < target.cold_until,
         )
 
     def drop(self, node_id: str) -> None:
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/balancers.py
@@ -82,7 +82,10 @@
       is_repeat: Whether another target has refused the call. It then goes to a
         warm target without room, which may queue it, before a cold one.
     """
-    if not any(c.cold for c in candidates):
+    for candidate in candidates:
+        if candidate.cold:
+            break
+    else:
         return candidates
     warm = [
         c
--- a/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
+++ b/packages/sassafras-policy/src/sassafras_policy/balancing/health.py
@@ -18,7 +18,11 @@
 
 
 class TargetHealth:
-    """Load, errors, ejection and slow start of one target."""
+    """Load, errors, ejection and slow start of one target.
+
+    Attributes:
+      cold_until: When the target stops being cold, by its last response.
+    """
 
     def __init__(self) -> None:
         self._load = 0.0
@@ -27,7 +31,7 @@
         self._errors_at = 0.0
         self._rejected_share = 0.0
         self._rejected_at = 0.0
-        self._cold_until = 0.0
+        self.cold_until = 0.0
         self._consecutive_failures = 0
         self._ejected_until = 0.0
         self._ejection_s = 0.0
@@ -73,11 +77,7 @@
 
     def record_cold(self, cold_s: float, now: float) -> None:
         """Records for how long the target stays cold; 0 if it is warm."""
-        self._cold_until = now + cold_s if cold_s else 0.0
-
-    def is_cold(self, now: float) -> bool:
-        """Returns whether the target was cold by its last response."""
-        return now < self._cold_until
+        self.cold_until = now + cold_s if cold_s else 0.0
 
     def record_rejection(self, rejected: bool, now: float) -> None:
         """Records whether the target rejected a call that reached it."""
