--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -93,9 +93,9 @@
                 number=number,
                 configuration_version=runtime.version,
                 members_revision=(
-                    runtime.members_revision if is_candidate else None
+                    runtime.members.revision if is_candidate else None
                 ),
-                members_era=runtime.members_position.era,
+                members_era=runtime.members.position.era,
                 store_era=runtime.store_era.era,
             )
         )
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -227,7 +227,7 @@
             members_position=subscriber.members_position,
         )
         subscriber.version = runtime.version
-        subscriber.members_position = runtime.members_position
+        subscriber.members_position = runtime.members.position
         try:
             await link.send(update)
         except errors.ConnectionLostError:
@@ -254,9 +254,11 @@
     if (
         members_position is not None
         and runtime.is_watching_members
-        and members_position < runtime.members_position
+        and members_position < runtime.members.position
     ):
-        members = runtime.members_after(members_position)
+        members = runtime.members.after(
+            members_position, runtime.entry, runtime.fleet
+        )
     age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
     return link_messages.StateUpdate(
         number=number,
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -12,6 +12,7 @@
 from sassafras_node.mesh import connections
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import measurements
+from sassafras_node.mesh import members_relay
 from sassafras_node.mesh import settings as mesh_settings
 from sassafras_node.mesh.peers import call_pools
 from sassafras_node.mesh.targets import local_target
@@ -24,7 +25,6 @@
 from sassafras_policy.limits import limiters
 from sassafras_policy.membership import roster as rosters
 from sassafras_policy.mesh import calls
-from sassafras_policy.mesh import change_log
 from sassafras_policy.mesh import configuration
 from sassafras_policy.mesh import downstream
 from sassafras_policy.mesh import eras
@@ -38,7 +38,6 @@
 from sassafras_wire.http import deadlines
 from sassafras_wire.http import disconnects
 from sassafras_wire.http import server as http_server
-from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import link as links
 
 # After an outage of the store, a live node writes its entry again within this
@@ -113,8 +112,7 @@
       unusable_readers: Nodes that cannot be reached or do not reach the store.
       reaches_store: Whether the last call to the store was answered.
       is_watching_members: Whether this node has the newest entries itself.
-      members_position: Position of the store at which it has all entries.
-      member_changes: Which of them have changed lately.
+      members: The entries that it has read, for the nodes of its zone.
       is_fleet_loaded: Whether the entries of all nodes have been read once.
         Until then, the node would take itself for the only one and use the
         whole of every rate.
@@ -209,10 +207,7 @@
         self.unusable_readers: set[str] = set()
         self.reaches_store = True
         self.is_watching_members = False
-        self.members_position = eras.Position()
-        self.member_changes = change_log.ChangeLog()
-        self._members_update = link_messages.MembersUpdate(0, b"")
-        self._members_update_key = (eras.Position(-1), eras.Position(-1))
+        self.members = members_relay.MembersRelay()
         self.entry_changed = trio.Event()
         self.relay_changed = trio.Event()
         self.own_entry_removed = trio.Event()
@@ -269,11 +264,6 @@
         """Revision of the store at which the entry was written last."""
         return self.entry_position.revision
 
-    @property
-    def members_revision(self) -> int:
-        """Revision of the store at which this node has all entries."""
-        return self.members_position.revision
-
     @property
     def may_read_removed(self) -> bool:
         """Whether the store may hold entries of nodes that have ended."""
@@ -443,42 +433,6 @@
             own.availability_zone, own.node_id, usable
         )
 
-    def members_after(
-        self, position: eras.Position
-    ) -> link_messages.MembersUpdate:
-        """Returns what a node of the same zone lacks of the entries.
-
-        Args:
-          position: Position of the store of the other node's entries.
-        """
-        key = (position, self.members_position)
-        if key != self._members_update_key:
-            self._members_update = self._make_members_update(position)
-            self._members_update_key = key
-        return self._members_update
-
-    def _make_members_update(
-        self, position: eras.Position
-    ) -> link_messages.MembersUpdate:
-        entries = {e.node_id: e for e in self.fleet.listed_entries}
-        entries[self.entry.node_id] = self.entry
-        changed = self.member_changes.since(position)
-        if changed is None:
-            return link_messages.MembersUpdate(
-                self.members_revision,
-                link_messages.encode_members(list(entries.values())),
-                era=self.members_position.era,
-            )
-        return link_messages.MembersUpdate(
-            self.members_revision,
-            link_messages.encode_members(
-                [entries[name] for name in sorted(changed & entries.keys())]
-            ),
-            since=position.revision,
-            removed=tuple(sorted(changed - entries.keys())),
-            era=self.members_position.era,
-        )
-
     def ping_interval_s(self, node_id: str) -> float:
         """Returns the time between two pings to a node."""
         if node_id in self.readers.candidates:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -65,7 +65,7 @@
                 else:
                     runtime.is_watching_members = False
                     await trio.sleep(_ROLE_CHECK_S)
-                    position = max(position, runtime.members_position)
+                    position = max(position, runtime.members.position)
         except interfaces.HistoryLostError:
             # All entries are read instead of the changes.
             continue
@@ -88,7 +88,7 @@
         _apply(runtime, item, listing.position_of(item))
     if listing.items:
         # Other keys of the store change its revision as well.
-        runtime.members_position = listing.position
+        runtime.members.position = listing.position
         runtime.publish_relay()
     await trio.sleep(_BATCH_DELAY_S)
     return listing.position
@@ -107,11 +107,11 @@
       source: The reader.
     """
     position = update.position
-    if position <= runtime.members_position:
+    if position <= runtime.members.position:
         return
     if (
         update.since is not None
-        and eras.Position(update.era, update.since) > runtime.members_position
+        and eras.Position(update.era, update.since) > runtime.members.position
     ):
         # Changes in between are missing; the next ping asks for them.
         return
@@ -122,14 +122,14 @@
     for entry in relayed:
         _restore_own_entry(runtime, entry, position)
         runtime.fleet.update(entry, is_copy=runtime.may_read_removed)
-    runtime.members_position = position
+    runtime.members.position = position
     known = {entry.node_id for entry in relayed}
     if update.since is None:
         _keep_only(runtime, known, position)
-        runtime.member_changes.restart(position)
+        runtime.members.changes.restart(position)
         return
     for node_id in known.union(update.removed):
-        runtime.member_changes.record(node_id, position)
+        runtime.members.changes.record(node_id, position)
     for node_id in update.removed:
         _lapse(runtime, node_id, position)
 
@@ -169,13 +169,13 @@
     store_eras.note_position(runtime, listing.position, "members")
     for item in listing.items:
         _apply(runtime, item, listing.position_of(item))
-    runtime.members_position = listing.position
+    runtime.members.position = listing.position
     _keep_only(
         runtime,
         {entries.node_of(item.key) for item in listing.items},
         listing.position,
     )
-    runtime.member_changes.restart(listing.position)
+    runtime.members.changes.restart(listing.position)
     if not runtime.target.restored.is_set():
         _restore_target(runtime, listing)
     runtime.is_fleet_loaded = True
@@ -207,7 +207,7 @@
     runtime: runtimes.Runtime, item: interfaces.Item, position: eras.Position
 ) -> None:
     node_id = entries.node_of(item.key)
-    runtime.member_changes.record(node_id, position)
+    runtime.members.changes.record(node_id, position)
     if item.value is None:
         _lapse(runtime, node_id, position)
         return
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -213,7 +213,7 @@
                 errors=target.errors(now),
                 ejected=target.is_ejected(now),
                 rejected_share=target.rejected_share(now),
-                cold=target.is_cold(now),
+                cold=now < target.cold_until,
                 service_s=estimate.service_s,
                 excess_s=excess_s,
                 room=estimates.room(limit),
--- a/tests/mesh/test_store_eras.py
+++ b/tests/mesh/test_store_eras.py
@@ -453,7 +453,7 @@
         node = fleet.nodes["one"]
         assert node.version == 2
         assert node.is_ready
-        assert node.members_position.era == 2
+        assert node.members.position.era == 2
         fleet.cut.clear()
         await store_fleet.until(
             lambda: node.stored_entry_number == node.entry.number, 5.0
@@ -478,7 +478,7 @@
         await store_fleet.until(
             lambda: (
                 fleet.stored_entry("one") == node.entry
-                and node.members_position.era == 2
+                and node.members.position.era == 2
                 and len(node.fleet.listed_entries) == 2
             ),
             8.0,
--- a/tests/mesh/test_zone_readers.py
+++ b/tests/mesh/test_zone_readers.py
@@ -343,7 +343,7 @@
 
     async def check(fleet):
         node = next(iter(fleet.nodes.values()))
-        revision = node.members_revision
+        revision = node.members.revision
         gone = next(iter(node.fleet.entries)).node_id
         members.apply_relayed(
             node,
@@ -355,7 +355,7 @@
             ),
             "test",
         )
-        assert node.members_revision == revision
+        assert node.members.revision == revision
         assert gone in {e.node_id for e in node.fleet.listed_entries}
 
     await _with_zone(tmp_path, check)
--- a/tests/properties/test_store_eras.py
+++ b/tests/properties/test_store_eras.py
@@ -233,7 +233,7 @@
             assert node.version == max(fleet.documents)
             assert node.is_ready
             assert node.store_era.era == 2
-            assert node.members_position.era == 2
+            assert node.members.position.era == 2
             listed = {entry.node_id for entry in node.fleet.listed_entries}
             assert listed == names - {name}
             assert fleet.stored_entry(name) == node.entry
