Freeze the objects of a start without a collection before

Cause: gc_settings.apply ran a full collection, the only one of a start, which found 2,650 unreachable of 99,619 objects in 28 to 36 ms (gc.collect timed after the import, three runs). Change: The freeze comes without it; the few unreachable objects stay.

--- a/packages/sassafras-node/src/sassafras_node/gc_settings.py
+++ b/packages/sassafras-node/src/sassafras_node/gc_settings.py
@@ -10,9 +10,10 @@
 def apply() -> None:
     """Sets the thresholds and freezes current objects; called once at start.
 
-    Collections may have been disabled until then.
+    Collections may have been disabled until then. A full collection before the
+    freeze would find some 2,600 unreachable objects, and take a tenth of the
+    processor time of a start.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*_THRESHOLDS)
     gc.enable()
