Let the deadline monitor and the log writer sleep while nothing is due

Cause: The deadline monitor checked every 20 ms while any exchange had a deadline, seconds ahead as a rule, and the log writer woke five times a second. Change: The monitor sleeps until the earliest deadline, at least its interval; an earlier deadline moves the check. The writer waits for a line. A timeout is late by at most the interval, as before; a line waits 0.2 s at most, as before. Two tests guard what is new: an earlier deadline, and a line after a silence.

--- a/packages/sassafras-base/src/sassafras_base/line_writer.py
+++ b/packages/sassafras-base/src/sassafras_base/line_writer.py
@@ -37,6 +37,7 @@
         self._now = now
         self._descriptor = descriptor
         self._pending = bytearray()
+        self._has_pending = trio.Event()
         self._tokens = _BURST_LINES
         self._refilled_at = now()
 
@@ -59,6 +60,8 @@
 
     def write(self, line: str) -> None:
         """Adds an admitted line."""
+        if not self._pending:
+            self._has_pending.set()
         if self.dropped:
             self._pending += b'{"dropped_lines": %d}\n' % self.dropped
             self.dropped = 0
@@ -66,10 +69,13 @@
         self._pending += b"\n"
 
     async def run(self) -> None:
-        """Flushes at a fixed interval until cancelled."""
+        """Flushes at a fixed interval while lines wait, until cancelled."""
         while True:
+            await self._has_pending.wait()
             await trio.sleep(_FLUSH_INTERVAL_S)
             self.flush()
+            if not self._pending:
+                self._has_pending = trio.Event()
 
     def flush(self) -> None:
         """Writes as much as the descriptor accepts without blocking."""
--- a/packages/sassafras-wire/src/sassafras_wire/http/deadlines.py
+++ b/packages/sassafras-wire/src/sassafras_wire/http/deadlines.py
@@ -1,5 +1,7 @@
 """Closes connections whose wait has lasted too long."""
 
+import math
+
 import trio
 
 from sassafras_wire.http import sockets
@@ -18,24 +20,30 @@
         """Creates a monitor without connections.
 
         Args:
-          interval_s: Time between two checks, by which a timeout may be late.
+          interval_s: Shortest time between two checks, by which a timeout may
+            be late.
         """
         self._interval_s = interval_s
         self._deadlines: dict[sockets.SocketStream, float] = {}
         self._has_deadlines = trio.Event()
-        # Spares most exchanges the call that sets the event.
-        self._is_checking = False
+        # Time of the next check. While there is none, the first deadline
+        # requests one; later deadlines spare their exchange that call.
+        self._check_at = math.inf
+        self._pause = trio.CancelScope()
         self._has_ended = False
 
     async def run(self) -> None:
         """Checks the deadlines until cancelled."""
         while True:
             await self._has_deadlines.wait()
-            await trio.sleep(self._interval_s)
+            earliest = min(self._deadlines.values(), default=0.0)
+            self._check_at = self._check_time(earliest)
+            with trio.CancelScope(deadline=self._check_at) as self._pause:
+                await trio.sleep_forever()
             self._close_overdue()
             if not self._deadlines:
                 self._has_deadlines = trio.Event()
-                self._is_checking = False
+                self._check_at = math.inf
 
     def set(self, stream: sockets.SocketStream, deadline: float) -> None:
         """Closes a connection at a time on trio's clock, unless cleared."""
@@ -43,9 +51,8 @@
             stream.close()
             return
         self._deadlines[stream] = deadline
-        if not self._is_checking:
-            self._is_checking = True
-            self._has_deadlines.set()
+        if deadline < self._check_at:
+            self._check_sooner(deadline)
 
     def clear(self, stream: sockets.SocketStream) -> None:
         """Removes the deadline of a connection."""
@@ -58,6 +65,17 @@
             stream, _ = self._deadlines.popitem()
             stream.close()
 
+    def _check_sooner(self, deadline: float) -> None:
+        check_at = self._check_time(deadline)
+        if check_at < self._check_at:
+            self._check_at = check_at
+            self._pause.deadline = check_at
+        self._has_deadlines.set()
+
+    def _check_time(self, deadline: float) -> float:
+        """Returns when a deadline is checked if no other one is earlier."""
+        return max(deadline, trio.current_time() + self._interval_s)
+
     def _close_overdue(self) -> None:
         now = trio.current_time()
         overdue = [
--- a/tests/contract/test_line_writer.py
+++ b/tests/contract/test_line_writer.py
@@ -3,6 +3,8 @@
 import json
 import os
 
+import trio
+
 from sassafras_base import line_writer
 
 
@@ -41,3 +43,17 @@
         _write(writer, 1000)
         writer.flush()
     assert writer.dropped > 0
+
+
+async def test_a_line_after_a_silence_is_flushed():
+    """Guards against a writer that sleeps on when lines come again."""
+    read_end, write_end = os.pipe()
+    writer = line_writer.LineWriter(write_end)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(writer.run)
+        for line in ("first", "second"):
+            await trio.sleep(0.5)
+            writer.write(line)
+            await trio.sleep(0.5)
+            assert os.read(read_end, 100) == line.encode() + b"\n"
+        nursery.cancel_scope.cancel()
--- a/tests/mesh/test_deadline_monitor.py
+++ b/tests/mesh/test_deadline_monitor.py
@@ -143,3 +143,28 @@
         nursery.cancel_scope.cancel()
     # This task wakes once; the monitor would wake 200 times.
     assert counter.steps < 20
+
+
+async def test_an_earlier_deadline_moves_the_next_check():
+    """Guards against a monitor that sleeps until the first deadline it saw."""
+    server = _Server(0.0)
+    monitor = deadlines.DeadlineMonitor(_INTERVAL_S)
+    streams = []
+    with trio.fail_after(5.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run)
+            nursery.start_soon(monitor.run)
+            host, _, port = server.address.rpartition(":")
+            for _ in range(2):
+                streams.append(
+                    await sockets.SocketStream.connect(host, int(port))
+                )
+            monitor.set(streams[0], trio.current_time() + 3600.0)
+            await trio.sleep(2 * _INTERVAL_S)
+            monitor.set(streams[1], trio.current_time() + _INTERVAL_S)
+            # The monitor closes the connection, which ends the wait.
+            with pytest.raises((trio.ClosedResourceError, OSError)):
+                await streams[1].receive_some()
+            assert streams[0].fileno() >= 0
+            streams[0].close()
+            nursery.cancel_scope.cancel()
