Read the announcement of the target once for each call

Change: LocalTarget.serving returns the announcement that serves calls, or None; local.serve reads that only.

--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -36,11 +36,10 @@
       progress: Updated when the first byte is sent.
     """
     target = runtime.target
-    current = target.announcement
+    current = target.serving
     if (
         current is None
         or runtime.drain.refuses_new
-        or not target.is_serving
         or current.service != call.service
         or current.target_id != target_id
     ):
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -97,14 +97,21 @@
         return self._published
 
     @property
-    def is_serving(self) -> bool:
-        """Whether the target takes new calls."""
+    def serving(self) -> targets.Announcement | None:
+        """The current announcement if the target takes new calls, or None."""
         current = self._register.current
-        return (
+        if (
             current is not None
             and current.state is targets.State.READY
             and self._clock.now() - self._announced_at < self._silence_limit_s
-        )
+        ):
+            return current
+        return None
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the target takes new calls."""
+        return self.serving is not None
 
     @property
     def is_cold(self) -> bool:
