--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -175,7 +175,44 @@
 )
 
 
-class _Baseline:
+class _Unpaced:
+    """Parts of a policy that lets targets start with all of their slots."""
+
+    _in_flight: int
+    _slots: int
+
+    def observe(
+        self,
+        started_at: float,
+        relative: float,
+        own_relative: float,
+        succeeded: bool,
+        in_flight: int,
+        now: float,
+    ) -> bool:
+        """See AdmissionPolicy."""
+        return True
+
+    @property
+    def in_flight(self) -> int:
+        """See AdmissionPolicy."""
+        return self._in_flight
+
+    @property
+    def slots(self) -> int:
+        """See AdmissionPolicy."""
+        return self._slots
+
+    @property
+    def is_open(self) -> bool:
+        """See AdmissionPolicy."""
+        return True
+
+    def hold_back(self) -> None:
+        """See AdmissionPolicy."""
+
+
+class _Baseline(_Unpaced):
     """Counts calls in flight; has no queue and an open level."""
 
     # A call that waits for another service counts like any other.
@@ -227,36 +264,6 @@
     def resumed(self) -> None:
         """See AdmissionPolicy."""
 
-    def observe(
-        self,
-        started_at: float,
-        relative: float,
-        own_relative: float,
-        succeeded: bool,
-        in_flight: int,
-        now: float,
-    ) -> bool:
-        """See AdmissionPolicy."""
-        return True
-
-    @property
-    def in_flight(self) -> int:
-        """See AdmissionPolicy."""
-        return self._in_flight
-
-    @property
-    def slots(self) -> int:
-        """See AdmissionPolicy."""
-        return self._slots
-
-    @property
-    def is_open(self) -> bool:
-        """See AdmissionPolicy."""
-        return True
-
-    def hold_back(self) -> None:
-        """See AdmissionPolicy."""
-
     def release_unused(self) -> None:
         """See AdmissionPolicy."""
         self._in_flight -= 1
@@ -295,7 +302,7 @@
 
 
 @admission_policies.register("adaptive")
-class Adaptive:
+class Adaptive(_Unpaced):
     """Combines an adaptive limit, a short priority queue and a level.
 
     The adaptive limit applies to the calls that the target works on. Calls
@@ -381,36 +388,6 @@
             admitted=False, level=level, ticket=ticket, displaced=displaced
         )
 
-    def observe(
-        self,
-        started_at: float,
-        relative: float,
-        own_relative: float,
-        succeeded: bool,
-        in_flight: int,
-        now: float,
-    ) -> bool:
-        """See AdmissionPolicy."""
-        return True
-
-    @property
-    def in_flight(self) -> int:
-        """See AdmissionPolicy."""
-        return self._in_flight
-
-    @property
-    def slots(self) -> int:
-        """See AdmissionPolicy."""
-        return self._slots
-
-    @property
-    def is_open(self) -> bool:
-        """See AdmissionPolicy."""
-        return True
-
-    def hold_back(self) -> None:
-        """See AdmissionPolicy."""
-
     def paused(self) -> None:
         """See AdmissionPolicy."""
         self._paused += 1
