--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -686,6 +686,19 @@
             self.send(signal.SIGKILL)
             self._process.wait()
 
+    def memory_mb(self) -> float:
+        """Returns the resident memory in millions of bytes; 0 if it is gone."""
+        if not self.is_running:
+            return 0.0
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in text.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024 / 1e6
+        return 0.0
+
     async def is_ready(self) -> bool:
         answer = await call(
             self.machine.address("Ready"),
