Log and export how a mesh node divides rates

Cause: neither logs nor metrics showed by how many nodes a node divided the rates, nor which pools it owned, so a pool that two nodes own could not be told from one that starts with too many tokens. Change: event 858 and the metric owned_pools; Limiter.owned_pools.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -63,6 +63,10 @@
                 runtime.store_era.era,
             ),
             "peers": ("Other nodes known.", len(runtime.fleet)),
+            "owned_pools": (
+                "Organisations for which this node owns the token pool.",
+                runtime.limiter.owned_pools,
+            ),
             "in_flight": ("Requests being served.", runtime.drain.in_flight),
             "request_bytes": (
                 "Bytes of request bodies held.",
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -7,6 +7,7 @@
 
 from sassafras_base import clock as clocks
 from sassafras_base import errors
+from sassafras_base import events
 from sassafras_node import drain as drains
 from sassafras_node.limits import gate as limit_gates
 from sassafras_node.mesh import connections
@@ -71,6 +72,17 @@
 _LIMIT_CONNECT_TIMEOUT_S = 0.5
 
 
+@events.declare(858, "INFO")
+def rates_divided(nodes: int, owned_pools: int, pools: int) -> str:
+    """The node counts another number of nodes, or owns other token pools.
+
+    Nodes that own a pool at the same time admit more than the rate together.
+    """
+    return (
+        f"rates divided by {nodes} nodes; {owned_pools} of {pools} pools here"
+    )
+
+
 class Runtime:
     """State shared by the tasks of one node, with the source of each part.
 
@@ -223,6 +235,7 @@
         self.sub_call_failed_at = -math.inf
         self._incarnation = int(clock.wall() * 1000)
         self._limiter_context: limiters.LimiterContext | None = None
+        self._logged_division: tuple[int, int, int] | None = None
         self._entry: targets.NodeEntry | None = None
         self._entry_source: tuple[object, ...] = ()
         self._entry_number = 0
@@ -357,8 +370,19 @@
             self.limiter.configure(
                 limiter_context, self.clock.now_with_suspend()
             )
+            self._log_division(limiter_context)
         self.retry_budget.set_node_count(limiter_context.hosts)
 
+    def _log_division(self, context: limiters.LimiterContext) -> None:
+        division = (
+            context.hosts,
+            self.limiter.owned_pools,
+            len(context.organisations),
+        )
+        if division != self._logged_division:
+            self._logged_division = division
+            rates_divided(*division)
+
     def _pool_owners(self) -> tuple[str, ...]:
         """Returns the nodes that may own token pools; leaving nodes may not."""
         entries = [*self.fleet.entries, self.entry]
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -74,6 +74,11 @@
         """The other nodes to which token requests may go."""
         ...
 
+    @property
+    def owned_pools(self) -> int:
+        """Number of organisations for which this node owns the pool."""
+        ...
+
     def configure(self, context: LimiterContext, now: float) -> None:
         """Applies rates, bursts and the roster."""
         ...
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -89,6 +89,11 @@
         owners = {client.owner for client in self._clients.values()}
         return tuple(sorted(owners - {self._own_id}))
 
+    @property
+    def owned_pools(self) -> int:
+        """See Limiter."""
+        return len(self._pools)
+
     def configure(self, context: limiters.LimiterContext, now: float) -> None:
         """See Limiter."""
         super().configure(context, now)
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -80,6 +80,11 @@
         """See Limiter; no tokens are requested."""
         return ()
 
+    @property
+    def owned_pools(self) -> int:
+        """See Limiter."""
+        return 0
+
     def configure(self, context: limiters.LimiterContext, now: float) -> None:
         """See Limiter.
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
@@ -123,6 +123,11 @@
         """See Limiter."""
         return self._holders
 
+    @property
+    def owned_pools(self) -> int:
+        """See Limiter; every holder keeps a part."""
+        return 0
+
     def configure(self, context: limiters.LimiterContext, now: float) -> None:
         """See Limiter."""
         states: dict[str, _OrganisationState] = {}
