Count a new mesh node everywhere before it uses a part of a rate

Cause: a new node read the entries of the store once, found no others, and divided every rate by one node for the 1.5 s until it read again. The outage of the store is one way to an empty list; a first start, and a planned restart of all, are others. A node that lived on was not in the list either, as its lease had ended and it writes its entry again up to 2.5 s later. Ruled out, by event 858: the level of new pools and grants of before (each of five nodes showed nodes=1 and one owned pool at the same time). Change: a node writes its entry and a record without a lease in one transaction, then reads both lists, and then introduces itself to each node whose share shrinks by it: all nodes where rates may be divided by demand, else the next in the rank of each pool that it would own. Until these have answered that they count it, no process listens at their address, or 1 s has passed, it refuses requests and fills no pool. Readers remove the records of nodes that are gone. The choice of counterparts is a method of the limiter, and the division of rates moved out of the runtime. Why it works: the store orders writes and reads. Of two nodes, the one that wrote later reads the record of the other, and is counted before it uses anything; where nothing listens, the next process does the same in turn.

--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -101,9 +101,26 @@
         ...
 
     async def compare_and_swap(
-        self, key: str, value: bytes, revision: int, lease: int
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: int,
+        kept: tuple[tuple[str, bytes], ...] = (),
     ) -> WriteResult:
-        """Writes a key if it is at a revision; 0 means it must not exist."""
+        """Writes a key if it is at a revision; 0 means it must not exist.
+
+        Args:
+          key: The key.
+          value: Its new value.
+          revision: The revision that it must be at.
+          lease: The lease that it is bound to.
+          kept: Keys and values that are written with it, without a lease.
+        """
+        ...
+
+    async def remove_without(self, key: str, other: str) -> bool:
+        """Removes a key unless another one exists; returns whether it did."""
         ...
 
     async def grant_lease(self, ttl_s: float) -> Lease:
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link.py
@@ -81,9 +81,21 @@
         await _ping(runtime, link, node_id)
 
 
-async def _ping(
+async def introduce(
     runtime: runtimes.Runtime, link: links.Link, node_id: str
-) -> None:
+) -> link_messages.StateUpdate:
+    """Makes another node count this one; returns its state."""
+    return await _ping(
+        runtime, link, node_id, link_messages.to_model(runtime.entry)
+    )
+
+
+async def _ping(
+    runtime: runtimes.Runtime,
+    link: links.Link,
+    node_id: str,
+    entry: link_messages.NodeEntryModel | None = None,
+) -> link_messages.StateUpdate:
     is_candidate = node_id in runtime.readers.candidates
     sent_at = runtime.clock.now_with_suspend()
     number = link.next_call_id()
@@ -97,6 +109,7 @@
                 ),
                 members_era=runtime.members.position.era,
                 store_era=runtime.store_era.era,
+                entry=entry,
             )
         )
         message = await link.expect(link_messages.StateUpdate)
@@ -104,6 +117,7 @@
             _apply_update(runtime, message, None)
             message = await link.expect(link_messages.StateUpdate)
     _apply_update(runtime, message, sent_at)
+    return message
 
 
 def _apply_update(
@@ -121,7 +135,7 @@
     """
     entry = link_messages.to_entry(message.entry)
     runtime.fleet.update(entry)
-    runtime.record_node_demand(entry.node_id, message.demand)
+    runtime.rates.record_demand(entry.node_id, message.demand)
     eras.note_peer(runtime, message.store_era, entry.node_id)
     if message.reaches_store:
         runtime.unusable_readers.discard(entry.node_id)
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -178,6 +178,10 @@
 ) -> models.Message:
     assert isinstance(message, link_messages.Ping)
     store_eras.note_peer(runtime, message.store_era, "another node")
+    if message.entry is not None:
+        # From now on this node leaves the share of the other to it.
+        runtime.fleet.update(link_messages.to_entry(message.entry))
+        runtime.configure_limiter()
     return node_update(
         runtime,
         message.configuration_version,
@@ -266,7 +270,7 @@
         load=runtime.target.gate.load,
         configuration_version=runtime.version,
         confirmed_age_s=age_s,
-        demand=runtime.demand,
+        demand=runtime.rates.demand,
         reaches_store=runtime.reaches_store,
         members_revision=members.revision,
         members=members.members,
@@ -277,6 +281,7 @@
         evacuations_era=runtime.evacuations.era,
         members_era=members.era,
         store_era=runtime.store_era.era,
+        uses_rates=runtime.is_fleet_loaded,
         configuration=(
             runtime.document if runtime.version > known_version else b""
         ),
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -1,10 +1,10 @@
 """Supervisor of the control links and of the listeners for other nodes.
 
 Children: `calls` and `links` accept connections, `call-sessions` and
-`link-sessions` serve them. `outgoing` is a supervisor of its own: `roster`
-follows the fleet, and there is one `link:NODE` for each node that
-`policy/mesh/linking.py` chooses and one `limits:NODE` for each owner of a token
-pool; it never gives up, as an
+`link-sessions` serve them, and `joining` introduces the node to the others.
+`outgoing` is a supervisor of its own: `roster` follows the fleet, and there is
+one `link:NODE` for each node that `policy/mesh/linking.py` chooses and one
+`limits:NODE` for each owner of a token pool; it never gives up, as an
 unreachable node is no fault of this one. A child that fails is restarted alone;
 the calls of running sessions continue.
 """
@@ -20,6 +20,7 @@
 from sassafras_node.mesh import refusals
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.peers import call_session
+from sassafras_node.mesh.peers import joining
 from sassafras_node.mesh.peers import link
 from sassafras_node.mesh.peers import link_session
 from sassafras_policy.mesh import linking
@@ -57,6 +58,9 @@
             supervision.Child("calls", calls.accept),
             supervision.Child("link-sessions", links.run_sessions),
             supervision.Child("links", links.accept),
+            supervision.Child(
+                "joining", functools.partial(joining.run, runtime)
+            ),
             supervision.Child(
                 "outgoing",
                 functools.partial(
@@ -101,6 +105,7 @@
     """Keeps the links to chosen nodes, and forgets nodes that are gone."""
     applied: object = None
     while True:
+        division_changed = runtime.rates.changed
         now = runtime.clock.now_with_suspend()
         runtime.fleet.lapse_departed(now)
         for node_id in runtime.fleet.expire(now):
@@ -111,12 +116,15 @@
             runtime.entry.number,
             runtime.reaches_store,
             runtime.version,
+            runtime.limiter.holders,
         )
         # Each choice hashes the names of all nodes.
         if state != applied:
             applied = state
             _apply_fleet(runtime, supervisor)
-        await trio.sleep(_ROSTER_INTERVAL_S)
+        # Requests wait for tokens of a new owner until it has its task.
+        with trio.move_on_after(_ROSTER_INTERVAL_S):
+            await division_changed.wait()
 
 
 def _apply_fleet(
@@ -129,7 +137,7 @@
         runtime.entry,
         runtime.fleet.entries,
         runtime.unusable_readers,
-        needs_all=runtime.divides_rates,
+        needs_all=runtime.rates.divides_by_demand,
     )
     supervisor.reconcile(
         "link:",
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -7,13 +7,13 @@
 
 from sassafras_base import clock as clocks
 from sassafras_base import errors
-from sassafras_base import events
 from sassafras_node import drain as drains
 from sassafras_node.limits import gate as limit_gates
 from sassafras_node.mesh import connections
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import measurements
 from sassafras_node.mesh import members_relay
+from sassafras_node.mesh import rate_division
 from sassafras_node.mesh import settings as mesh_settings
 from sassafras_node.mesh.peers import call_pools
 from sassafras_node.mesh.targets import local_target
@@ -24,7 +24,6 @@
 from sassafras_policy.admission import whole_requests
 from sassafras_policy.balancing import balancers
 from sassafras_policy.limits import limiters
-from sassafras_policy.membership import roster as rosters
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import configuration
 from sassafras_policy.mesh import downstream
@@ -72,17 +71,6 @@
 _LIMIT_CONNECT_TIMEOUT_S = 0.5
 
 
-@events.declare(858, "INFO")
-def rates_divided(nodes: int, owned_pools: int, pools: int) -> str:
-    """The node counts another number of nodes, or owns other token pools.
-
-    Nodes that own a pool at the same time admit more than the rate together.
-    """
-    return (
-        f"rates divided by {nodes} nodes; {owned_pools} of {pools} pools here"
-    )
-
-
 class Runtime:
     """State shared by the tasks of one node, with the source of each part.
 
@@ -100,6 +88,7 @@
       balancer: Choice among targets.
       retry_budget: Budget for further sends to each service.
       limiter: Rates of organisations.
+      rates: Division of these rates among the nodes.
       limit_gate: Admission by the limiter.
       call_pools: Connections for calls to other nodes.
       downstream_levels: Admission levels of downstream services; updated by
@@ -125,9 +114,12 @@
       reaches_store: Whether the last call to the store was answered.
       is_watching_members: Whether this node has the newest entries itself.
       members: The entries that it has read, for the nodes of its zone.
-      is_fleet_loaded: Whether the entries of all nodes have been read once.
-        Until then, the node would take itself for the only one and use the
-        whole of every rate.
+      members_read: Set when the entries and records of all nodes have been
+        read once.
+      is_fleet_loaded: Whether this node counts all others, and they count it.
+        Until then, it would use a part of the rates that is in use elsewhere.
+      ended_nodes: When nodes whose records may be left in the store ended or,
+        if they have not come back by then, will be taken for ended.
       is_leaving: Whether other nodes should send no more calls.
       measurements: Counters and latencies.
       connections: The connections that this node accepts, and their limits.
@@ -190,6 +182,7 @@
             settings.bounds.retry_window_s,
         )
         self.limiter = limiters.limiters.get(settings.policy.limiter)()
+        self.rates = rate_division.RateDivision(self.limiter, clock, self.fleet)
         self.limit_gate = limit_gates.LimitGate(self.limiter, clock)
         self.call_pools = call_pools.CallPools(
             self.call_deadlines, self.connections.budget
@@ -204,7 +197,9 @@
         self.running_calls: dict[str, calls.RunningCall] = {}
         self.drain = drains.make_drain()
         self.is_leaving = False
+        self.members_read = trio.Event()
         self.is_fleet_loaded = False
+        self.ended_nodes: dict[str, float] = {}
         self.store_era = eras.StoreEra()
         self.is_unproved = False
         self.era_changed = trio.Event()
@@ -234,8 +229,6 @@
         )
         self.sub_call_failed_at = -math.inf
         self._incarnation = int(clock.wall() * 1000)
-        self._limiter_context: limiters.LimiterContext | None = None
-        self._logged_division: tuple[int, int, int] | None = None
         self._entry: targets.NodeEntry | None = None
         self._entry_source: tuple[object, ...] = ()
         self._entry_number = 0
@@ -349,44 +342,37 @@
         return True
 
     def configure_limiter(self) -> None:
-        """Divides the rates of organisations among the known nodes."""
+        """Divides the rates of organisations among the known nodes.
+
+        A node that does not know the others yet takes no part, nor fills pools.
+        """
+        inputs = self._rate_inputs()
+        if inputs is not None and self.is_fleet_loaded:
+            self.retry_budget.set_node_count(self.rates.configure(inputs))
+
+    def rate_counterparts(self, unsure: frozenset[str]) -> frozenset[str]:
+        """Returns the nodes that must count this one before it uses a share.
+
+        Args:
+          unsure: Nodes that may use no share, so that others use it.
+        """
+        inputs = self._rate_inputs()
+        if inputs is None:
+            return frozenset()
+        return self.rates.counterparts(inputs, unsure)
+
+    def _rate_inputs(self) -> rate_division.RateInputs | None:
         if self.routing is None:
-            return
-        limiter_context = limiters.LimiterContext(
+            return None
+        return rate_division.RateInputs(
             organisations=tuple(
                 organisation.account
                 for organisation in self.routing.source.organisations
                 if organisation.account.rate_per_s > 0
             ),
-            own_id=self.settings.host.node_id,
-            hosts=len(self.fleet) + 1,
-            roster=rosters.Roster(),
-            settled=True,
+            own=self.entry,
             tolerance=self.settings.bounds.rate_tolerance,
-            nodes=self._pool_owners(),
-        )
-        if limiter_context != self._limiter_context:
-            self._limiter_context = limiter_context
-            self.limiter.configure(
-                limiter_context, self.clock.now_with_suspend()
-            )
-            self._log_division(limiter_context)
-        self.retry_budget.set_node_count(limiter_context.hosts)
-
-    def _log_division(self, context: limiters.LimiterContext) -> None:
-        division = (
-            context.hosts,
-            self.limiter.owned_pools,
-            len(context.organisations),
         )
-        if division != self._logged_division:
-            self._logged_division = division
-            rates_divided(*division)
-
-    def _pool_owners(self) -> tuple[str, ...]:
-        """Returns the nodes that may own token pools; leaving nodes may not."""
-        entries = [*self.fleet.entries, self.entry]
-        return tuple(sorted(e.node_id for e in entries if not e.is_leaving))
 
     async def open_limit_link(
         self, nursery: trio.Nursery, holder: str
@@ -403,24 +389,6 @@
             nursery, entry.link_address, _LIMIT_CONNECT_TIMEOUT_S
         )
 
-    @property
-    def divides_rates(self) -> bool:
-        """Whether this node needs to know the demand at every other node."""
-        return (
-            isinstance(self.limiter, limiters.DemandRecorder)
-            and self.limiter.divides_rates
-        )
-
-    @property
-    def demand(self) -> dict[str, float]:
-        """Requests a second that arrive here, by organisation."""
-        if self._limiter_context is None:
-            # Other nodes ping this one before it has a configuration.
-            return {}
-        if not isinstance(self.limiter, limiters.DemandRecorder):
-            return {}
-        return self.limiter.demand(self.clock.now_with_suspend())
-
     @property
     def max_proof_age_s(self) -> float:
         """Age that the proof of the configuration should never reach.
@@ -432,15 +400,6 @@
             self.freshness.valid_s, self.settings.bounds.configuration_apply_s
         )
 
-    def record_node_demand(
-        self, node_id: str, demand: dict[str, float]
-    ) -> None:
-        """Records the demand at another node."""
-        if isinstance(self.limiter, limiters.DemandRecorder):
-            self.limiter.record_demand(
-                node_id, demand, self.clock.now_with_suspend()
-            )
-
     def update_readers(self) -> None:
         """Chooses the readers of the zone among the nodes that are usable."""
         own = self.entry
@@ -463,17 +422,17 @@
             interval_s = readers.ping_interval_s(self.max_proof_age_s)
             is_reader = node_id == self.readers.candidates[0]
             return interval_s if is_reader else 2 * interval_s
-        if self.demand:
+        if self.rates.demand:
             # The shares of a rate follow demand that is this old.
             return _MIN_PING_INTERVAL_S
         return max(_MIN_PING_INTERVAL_S, len(self.fleet) / _MAX_PINGS_PER_S)
 
     def forget_node(self, node_id: str) -> None:
         """Drops the state kept for a node that is gone."""
+        self.ended_nodes[node_id] = self.clock.now_with_suspend()
         self.unusable_readers.discard(node_id)
         self.target_tracker.drop(node_id)
-        if isinstance(self.limiter, limiters.DemandRecorder):
-            self.limiter.forget(node_id)
+        self.rates.forget(node_id)
 
     def effective_level(self, call: calls.Call) -> int:
         """Returns the lowest admission level for a call here and downstream.
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -20,8 +20,8 @@
 # Changes come in bursts, as when all nodes start; one call then gets several.
 _BATCH_DELAY_S = 0.2
 _RETRY_S = 0.5
-# At the start of a fleet, each node has read the entries before the others have
-# written theirs. After this delay, one call returns all of them.
+# At the start of a fleet, most nodes write their entries after this one has
+# read them. After this delay, one call returns all of them.
 _SETTLE_S = 1.5
 
 
@@ -50,10 +50,14 @@
 async def run(runtime: runtimes.Runtime) -> None:
     """Follows the entries until cancelled.
 
-    Each node reads them all once. After that only the reader of the zone
-    watches them, and the others get them from it when they change.
+    Each node reads them all once, after it has written its own. After that only
+    the reader of the zone watches them, and the others get them from it when
+    they change.
     """
     outage_log = outages.OutageLog("members")
+    if not runtime.members_read.is_set():
+        while not runtime.stored_entry_number:
+            await runtime.entry_stored.wait()
     while True:
         try:
             position = await _read_all(runtime)
@@ -176,31 +180,23 @@
         listing.position,
     )
     runtime.members.changes.restart(listing.position)
-    if not runtime.target.restored.is_set():
-        _restore_target(runtime, listing)
-    runtime.is_fleet_loaded = True
-    runtime.configure_limiter()
+    if not runtime.members_read.is_set():
+        await _read_records(runtime)
+        runtime.members_read.set()
     return listing.position
 
 
-def _restore_target(
-    runtime: runtimes.Runtime, listing: interfaces.Listing
-) -> None:
-    """Restores the local target from the entry of this node's last process."""
-    host = runtime.settings.host
-    own_key = entries.key_of(host.node_id)
-    now_ms = runtime.clock.wall() * 1000
+async def _read_records(runtime: runtimes.Runtime) -> None:
+    """Adds nodes that may be alive although the store has no entry of them."""
+    listing = await runtime.platform.store.get_prefix(entries.RECORD_PREFIX)
+    store_eras.note_position(runtime, listing.position, "members")
+    now = runtime.clock.now_with_suspend()
     for item in listing.items:
-        if item.key != own_key or item.value is None:
-            continue
-        previous = entries.decode(item.value)
-        if previous is None or previous.target is None:
+        record = entries.decode(item.value) if item.value else None
+        if record is None or entries.record_key_of(record.node_id) != item.key:
+            entry_unreadable(item.key)
             continue
-        if not targets.find_fault(
-            previous.target, host.target_service, host.target_address, now_ms
-        ):
-            runtime.target.restore(previous.target)
-    runtime.target.restored.set()
+        runtime.fleet.remember(record, now)
 
 
 def _apply(
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -15,9 +15,6 @@
 
 _RENEWALS_PER_LEASE = 3.0
 _RETRY_S = 0.5
-# The target announces itself shortly after the node has started; waiting for
-# it saves a write and a message to every other node.
-_FIRST_WRITE_DELAY_S = 1.0
 _CHANGE_DELAY_S = 0.05
 
 
@@ -44,14 +41,15 @@
 async def run(runtime: runtimes.Runtime) -> None:
     """Keeps the entry until cancelled.
 
-    The entry of the previous process is read before it is overwritten.
+    The entry of the previous process is read before it is overwritten. It is
+    written before the entries of the others are read, so that of two nodes that
+    start together the later one knows the earlier.
     """
-    await runtime.target.restored.wait()
-    with trio.move_on_after(_FIRST_WRITE_DELAY_S):
-        await runtime.entry_changed.wait()
     outage_log = outages.OutageLog("entry")
     while True:
         try:
+            if not runtime.target.restored.is_set():
+                await _restore_target(runtime)
             await _maintain_lease(runtime, outage_log)
             runtime.stored_entry_number = 0
             entry_lapsed()
@@ -60,6 +58,23 @@
             await trio.sleep(_RETRY_S)
 
 
+async def _restore_target(runtime: runtimes.Runtime) -> None:
+    """Restores the local target from the entry of this node's last process."""
+    host = runtime.settings.host
+    listing = await runtime.platform.store.get(entries.key_of(host.node_id))
+    store_eras.note_position(runtime, listing.position, "entry")
+    now_ms = runtime.clock.wall() * 1000
+    for item in listing.items:
+        previous = entries.decode(item.value) if item.value else None
+        if previous is None or previous.target is None:
+            continue
+        if not targets.find_fault(
+            previous.target, host.target_service, host.target_address, now_ms
+        ):
+            runtime.target.restore(previous.target)
+    runtime.target.restored.set()
+
+
 async def _maintain_lease(
     runtime: runtimes.Runtime, outage_log: outages.OutageLog
 ) -> None:
@@ -93,7 +108,13 @@
         entry = runtime.entry
         value = entries.encode(entry)
         if written is None or value != written.value:
-            revision = await _write(runtime, value, revision)
+            record = entries.encode_record(entry)
+            kept = (
+                ((entries.record_key_of(entry.node_id), record),)
+                if written is None
+                else ()
+            )
+            revision = await _write(runtime, value, revision, kept)
             if revision == 0:
                 return
             written = _Written(entry.number, value)
@@ -188,9 +209,17 @@
         await trio.sleep(_CHANGE_DELAY_S)
 
 
-async def _write(runtime: runtimes.Runtime, value: bytes, revision: int) -> int:
+async def _write(
+    runtime: runtimes.Runtime,
+    value: bytes,
+    revision: int,
+    kept: tuple[tuple[str, bytes], ...],
+) -> int:
     """Overwrites the entry; returns 0 if the lease has ended.
 
+    The first write under a lease has the node's record with it. Wherever the
+    store has the entry, in a copy as well, it has the record.
+
     It has also ended for this node if the response is of a newer era than the
     lease. The write may then have met a revision that was given out again, and
     the lease may be that of another node.
@@ -199,7 +228,7 @@
     key = entries.key_of(runtime.settings.host.node_id)
     while True:
         written = await store.compare_and_swap(
-            key, value, revision, runtime.lease
+            key, value, revision, runtime.lease, kept
         )
         store_eras.note(runtime, written.era, None, "entry")
         if written.era != runtime.lease_era:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/supervisor.py
@@ -1,7 +1,7 @@
 """Supervisor of the tasks that use the store.
 
-Children: `configuration`, `entry` and `members`. One that fails is restarted
-alone.
+Children: `configuration`, `entry`, `members` and `records`. One that fails is
+restarted alone.
 """
 
 import functools
@@ -11,6 +11,7 @@
 from sassafras_node.mesh.store import configuration
 from sassafras_node.mesh.store import members
 from sassafras_node.mesh.store import own_entry
+from sassafras_node.mesh.store import records
 
 
 async def run(runtime: runtimes.Runtime) -> None:
@@ -26,5 +27,8 @@
             supervision.Child(
                 "members", functools.partial(members.run, runtime)
             ),
+            supervision.Child(
+                "records", functools.partial(records.run, runtime)
+            ),
         ]
     )
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -83,6 +83,17 @@
         """Applies rates, bursts and the roster."""
         ...
 
+    def counterparts(
+        self, context: LimiterContext, others: frozenset[str]
+    ) -> frozenset[str]:
+        """Returns the nodes that must count this one before it uses a share.
+
+        Args:
+          context: The inputs from which the share would be computed.
+          others: Nodes that may use a share, without those that are silent.
+        """
+        ...
+
     def share(self, organisation: str, now: float) -> ShareState:
         """Returns this node's share, for operators."""
         ...
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -128,6 +128,26 @@
         self._clients = clients
         self._pools = pools
 
+    def counterparts(
+        self, context: limiters.LimiterContext, others: frozenset[str]
+    ) -> frozenset[str]:
+        """See Limiter.
+
+        Where rates may be divided, each share depends on all nodes. A pool is
+        taken over from the node that would own it without this one.
+        """
+        if context.hosts <= _MAX_DIVIDING_HOSTS:
+            return others
+        candidates = [*(others & frozenset(context.nodes)), context.own_id]
+        previous: set[str] = set()
+        for organisation in context.organisations:
+            first, *second = hashing.rendezvous(
+                organisation.name, candidates, 2
+            )
+            if first == context.own_id:
+                previous.update(second)
+        return frozenset(previous)
+
     def demand(self, now: float) -> dict[str, float]:
         """See DemandRecorder.
 
@@ -232,7 +252,8 @@
         del waiting
         pool = self._pools.get(organisation)
         if pool is None:
-            return transfers.Grant(0.0, 0.0, _UNKNOWN_ORGANISATION_WAIT_S)
+            # While a node starts, others may take it for the owner already.
+            return transfers.Grant(0.0, 0.0, _BATCH_S)
         granted = 0
         while granted < wanted and pool.take(now):
             granted += 1
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -97,6 +97,13 @@
             for organisation in context.organisations
         }
 
+    def counterparts(
+        self, context: limiters.LimiterContext, others: frozenset[str]
+    ) -> frozenset[str]:
+        """See Limiter; each node's share depends on the number of all."""
+        del context
+        return others
+
     def share(self, organisation: str, now: float) -> limiters.ShareState:
         """See Limiter."""
         bucket = self._buckets.get(organisation)
--- a/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
@@ -142,6 +142,13 @@
         self._states = states
         self._holders = tuple(sorted(holders))
 
+    def counterparts(
+        self, context: limiters.LimiterContext, others: frozenset[str]
+    ) -> frozenset[str]:
+        """See Limiter; the epochs of the roster divide the rates."""
+        del context, others
+        return frozenset()
+
     def share(self, organisation: str, now: float) -> limiters.ShareState:
         """See Limiter."""
         state = self._states.get(organisation)
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/fleet.py
@@ -87,6 +87,24 @@
         self._serving = None
         self.changes += 1
 
+    def remember(self, entry: targets.NodeEntry, now: float) -> None:
+        """Adds a node of before that the store does not list.
+
+        It counts like one whose entry has lapsed, as it may still be alive.
+        """
+        if entry.node_id == self._own_id or entry.node_id in self._members:
+            return
+        self._members[entry.node_id] = Member(entry)
+        self.lapse(entry.node_id, now)
+        self._serving = None
+        self.changes += 1
+
+    def drop(self, node_id: str) -> None:
+        """Removes a node whose process is known to have ended."""
+        if self._members.pop(node_id, None) is not None:
+            self._serving = None
+            self.changes += 1
+
     def set_evacuated(self, zones: frozenset[str]) -> None:
         """Excludes the targets of these availability zones from `serving`."""
         self._evacuated = zones
--- a/packages/sassafras-standins/src/sassafras_standins/platform/store.py
+++ b/packages/sassafras-standins/src/sassafras_standins/platform/store.py
@@ -140,6 +140,12 @@
         self._next_lease = copy.next_lease
         self._notify_watches()
 
+    def expire_leases(self) -> None:
+        """Ends all leases, as they may end while the store is down."""
+        for number in list(self._leases):
+            del self._leases[number]
+            self._remove_keys_of(number)
+
     async def run(
         self,
         address: str,
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -79,6 +79,8 @@
         entries of all nodes; None if it does not ask for them.
       members_era: Era of the store of that revision.
       store_era: The newest era of the store that the pinging node knows of.
+      entry: The pinging node's own entry, before it uses its share of rates.
+        The response means that the peer counts it.
     """
 
     type: Literal["mesh_ping"] = "mesh_ping"
@@ -87,6 +89,7 @@
     members_revision: int | None = None
     members_era: _Number = 0
     store_era: _Number = 0
+    entry: NodeEntryModel | None = None
 
 
 @models.message_types.register("mesh_news")
@@ -114,6 +117,8 @@
       evacuations_era: Era of the store of that revision.
       members_era: Era of the store of the two revisions.
       store_era: The newest era of the store that the node knows of.
+      uses_rates: Whether the node uses its shares of rates; it does not until
+        it has joined the fleet.
     """
 
     type: Literal["mesh_news"] = "mesh_news"
@@ -134,6 +139,7 @@
     evacuations_era: _Number = 0
     members_era: _Number = 0
     store_era: _Number = 0
+    uses_rates: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/sassafras-wire/src/sassafras_wire/peer/link.py
+++ b/packages/sassafras-wire/src/sassafras_wire/peer/link.py
@@ -193,6 +193,7 @@
       traffic: Where control messages are counted.
 
     Raises:
+      RefusedError: Nothing listens at the address.
       UnreachableError: The node could not be reached.
     """
     connector = trio_client.connect(
@@ -208,7 +209,10 @@
     try:
         connection = await connector.connect(nursery)
     except (OSError, TimeoutError, exceptions.InvalidHandshake) as error:
-        raise errors.UnreachableError(
+        # Trio wraps the error of a single attempt.
+        is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        kind = errors.RefusedError if is_refused else errors.UnreachableError
+        raise kind(
             "peer.connect", address, f"cannot connect: {error!r}"
         ) from None
     return Link(connection, address, traffic)
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -14,8 +14,10 @@
 import trio.testing
 
 from sassafras_base import errors
+from sassafras_node.limits import exchange
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.peers import joining
 from sassafras_node.mesh.peers import link
 from sassafras_node.mesh.peers import link_session
 from sassafras_node.mesh.store import entries
@@ -40,6 +42,7 @@
 _TIME_OUT_S = 1.0
 _PING_S = 0.4
 _ROSTER_S = 0.25
+_RETRY_S = 0.1
 # The wall clock of the nodes; incarnations are Unix milliseconds.
 _EPOCH_S = 1_700_000_000.0
 
@@ -104,6 +107,9 @@
             handler = link_session.message_handlers.get(message.type)
             self._response = handler(self._fleet.nodes[self._other], message)
 
+    async def abort(self):
+        pass
+
     async def expect(self, model):
         await trio.sleep(_CALL_S)
         if self._response is None:
@@ -150,11 +156,10 @@
             and other in self.nodes
         )
 
-    def configure(self, version, keys=(KEPT_KEY,)):
+    def configure(self, version, keys=(KEPT_KEY,), rate_per_s=0.0, burst=0.0):
         """Writes a configuration as the operator does."""
-        document = documents.configuration(
-            version, ROUTES, (documents.TenantRow("acme", tuple(keys)),)
-        )
+        tenant = documents.TenantRow("acme", tuple(keys), rate_per_s, burst)
+        document = documents.configuration(version, ROUTES, (tenant,))
         self.count_write()
         self.store.put("op/config", document)
         self.documents[version] = (trio.current_time(), document)
@@ -196,6 +201,7 @@
             Clock(),
             random.Random(1),
         )
+        node.open_limit_link = functools.partial(self._open_limit_link, name)
         self.nodes[name] = node
         self._scopes[name] = trio.CancelScope()
         self._nursery.start_soon(self._run, name, node)
@@ -226,6 +232,10 @@
         await trio.sleep(0.5)
         with trio.move_on_after(_TIME_OUT_S):
             await own_entry.withdraw(node)
+        self.kill_node(name)
+
+    def kill_node(self, name):
+        """Ends a node without a planned stop, like a crash."""
         self._scopes[name].cancel()
         del self.nodes[name]
 
@@ -242,15 +252,52 @@
                 nursery.start_soon(supervisor.run, node)
                 nursery.start_soon(self._follow_fleet, node)
                 nursery.start_soon(self._ping_others, name, node)
+                nursery.start_soon(joining.run, node, self._introduce)
+
+    async def _introduce(self, node, entry):
+        """Introduces a node like the task `joining`, without a socket."""
+        name, other = node.settings.host.node_id, entry.node_id
+        if other not in self.nodes:
+            return joining.Presence.ENDED
+        try:
+            answer = await link.introduce(node, _Link(self, name, other), other)
+        except errors.UnreachableError:
+            await trio.sleep(_TIME_OUT_S)
+            return joining.Presence.SILENT
+        return joining.presence_of(entry, answer)
+
+    async def _open_limit_link(self, name, nursery, holder):
+        del nursery
+        if not self.is_linked(name, holder):
+            raise errors.UnreachableError("limits.ask", holder, "cut")
+        return _Link(self, name, holder)
+
+    async def _exchange(self, node, holder):
+        while True:
+            try:
+                await exchange.run(node, holder)
+            except* errors.SassafrasError:
+                await trio.sleep(_RETRY_S)
 
     async def _follow_fleet(self, node):
+        async with trio.open_nursery() as nursery:
+            await self._keep_exchanges(node, nursery)
+
+    async def _keep_exchanges(self, node, nursery):
+        exchanges = set()
         while True:
+            changed = node.rates.changed
             now = node.clock.now_with_suspend()
             node.fleet.lapse_departed(now)
             for gone in node.fleet.expire(now):
                 node.forget_node(gone)
             node.update_readers()
-            await trio.sleep(_ROSTER_S)
+            node.configure_limiter()
+            for holder in set(node.limiter.holders) - exchanges:
+                exchanges.add(holder)
+                nursery.start_soon(self._exchange, node, holder)
+            with trio.move_on_after(_ROSTER_S):
+                await changed.wait()
 
     async def _ping_others(self, name, node):
         links = {}
