Divide a rate equally until its demand is reported

What callers saw: as a fleet shrinks from 18 nodes to 17, organisations are served beyond their rates for the seconds until the nodes have pinged each other. Cause: with 18 nodes the pool has the whole of a rate, and nodes report no demand for it. Each node went on to compute its part from its own demand and zeros, so at 17 nodes each took a quarter of the whole rate at once. Ruled out: two owners of the pool (one node granted all tokens), and partitions (none was open); 57 tokens came from the nodes' own buckets within half a second. Change: while a rate is not divided, a node counts an equal part, and the usual delay for growth covers the first reports.

--- a/packages/sassafras-policy/src/sassafras_policy/limits/demand_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/demand_share.py
@@ -128,9 +128,17 @@
         organisation = next(o for o in context.organisations if o.name == name)
         state = self._states[name]
         state.updated_at = now
-        state.update_fraction(self._wanted_fraction(name, state, now), now)
+        divided_fraction = self._divided_fraction(organisation)
+        # Of a rate that is not divided, the other hosts report no demand, and
+        # each would take its own for that of the fleet.
+        wanted = (
+            self._wanted_fraction(name, state, now)
+            if divided_fraction
+            else 1.0 / max(1, context.hosts)
+        )
+        state.update_fraction(wanted, now)
         factor = 1.0 + context.tolerance.ratio * TOLERANCE_FRACTION
-        own_fraction = self._divided_fraction(organisation) * state.fraction
+        own_fraction = divided_fraction * state.fraction
         state.bucket.resize(
             organisation.rate_per_s * own_fraction * factor,
             max(1.0, organisation.burst * own_fraction)
--- a/tests/mesh/test_rate_division.py
+++ b/tests/mesh/test_rate_division.py
@@ -26,6 +26,7 @@
     """Requests of one organisation at all nodes that are ready.
 
     Attributes:
+      per_s: Requests a second.
       admitted: When requests were admitted.
       refused: When requests were refused by their rate.
       begins: Set when requests begin.
@@ -36,7 +37,7 @@
         self.refused = []
         self.begins = trio.Event()
         self._fleet = fleet
-        self._per_s = per_s
+        self.per_s = per_s
         self._rng = random.Random(seed)
 
     async def run(self):
@@ -46,7 +47,7 @@
                 ready = [n for n in self._fleet.nodes.values() if n.is_ready]
                 if ready:
                     nursery.start_soon(self._send, self._rng.choice(ready))
-                await trio.sleep(self._rng.expovariate(self._per_s))
+                await trio.sleep(self._rng.expovariate(self.per_s))
 
     async def _send(self, node):
         if await node.limit_gate.admit(_ORGANISATION) is None:
@@ -170,6 +171,30 @@
     assert len(served) >= 0.95 * _RATE_PER_S * (_AFTER_S - _GONE_AFTER_S)
 
 
+def test_rates_are_kept_as_a_fleet_begins_to_divide_them():
+    """Guards against nodes that each divide by their own demand only (QUOTA).
+
+    Nodes report no demand while a pool has the whole rate, as in a fleet of 18.
+    """
+
+    async def play():
+        names = [f"node-{number}" for number in range(18)]
+        async with store_fleet.running(None) as fleet:
+            fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_BURST)
+            load = _Load(fleet, 0.5 * _RATE_PER_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(load.run)
+                await _settle(fleet, names, load.begins)
+                await fleet.stop_node(names[0])
+                # The burst of the pool is left, and is spent with the shares.
+                load.per_s = 4.6 * _RATE_PER_S
+                await trio.sleep(_AFTER_S)
+                nursery.cancel_scope.cancel()
+        return load
+
+    assert store_fleet.run(play).max_in_window <= _MAX_IN_WINDOW
+
+
 def test_at_most_one_node_owns_a_pool_at_any_time():
     """Guards against two owners of one pool while a fleet starts."""
 
