Wait less for nodes that are gone, and give them no pools

Change: introductions end after 0.4 s. A node of which only a record is known owns no pool; whoever takes the pool over asks it first.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/joining.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/joining.py
@@ -21,9 +21,9 @@
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import link as links
 
-# A host that is cut off or frozen delays the start by this time. It is counted
-# all the same.
-_ANSWER_TIMEOUT_S = 1.0
+# A node that can be reached answers within milliseconds, and callers of this
+# one wait while others are cut off or frozen. These are counted all the same.
+_ANSWER_TIMEOUT_S = 0.4
 # Delay until the first configuration names the rates that are divided.
 _CONFIGURATION_INTERVAL_S = 0.02
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/rate_division.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/rate_division.py
@@ -83,9 +83,11 @@
           inputs: What the division depends on.
           unsure: Nodes that may use no share, so that others use it.
         """
-        others = frozenset(entry.node_id for entry in self._fleet.entries)
+        entries = self._fleet.entries
         return self._limiter.counterparts(
-            self._make_context(inputs), others - unsure
+            self._make_context(inputs, has_unconfirmed=True),
+            frozenset(entry.node_id for entry in entries) - unsure,
+            frozenset(e.node_id for e in entries if not e.incarnation),
         )
 
     @property
@@ -118,7 +120,16 @@
         if isinstance(self._limiter, limiters.DemandRecorder):
             self._limiter.forget(node_id)
 
-    def _make_context(self, inputs: RateInputs) -> limiters.LimiterContext:
+    def _make_context(
+        self, inputs: RateInputs, has_unconfirmed: bool = False
+    ) -> limiters.LimiterContext:
+        """Returns the inputs of the limiter.
+
+        Args:
+          inputs: What the division depends on.
+          has_unconfirmed: Whether nodes of which only a record is known may own
+            pools. Requests would wait for one that has gone.
+        """
         entries = [*self._fleet.entries, inputs.own]
         return limiters.LimiterContext(
             organisations=inputs.organisations,
@@ -128,7 +139,14 @@
             settled=True,
             tolerance=inputs.tolerance,
             # A leaving node owns no pools.
-            nodes=tuple(sorted(e.node_id for e in entries if not e.is_leaving)),
+            nodes=tuple(
+                sorted(
+                    entry.node_id
+                    for entry in entries
+                    if not entry.is_leaving
+                    and (entry.incarnation or has_unconfirmed)
+                )
+            ),
         )
 
     def _log(self, context: limiters.LimiterContext) -> None:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -84,13 +84,18 @@
         ...
 
     def counterparts(
-        self, context: LimiterContext, others: frozenset[str]
+        self,
+        context: LimiterContext,
+        others: frozenset[str],
+        unconfirmed: frozenset[str],
     ) -> frozenset[str]:
         """Returns the nodes that must count this one before it uses a share.
 
         Args:
-          context: The inputs from which the share would be computed.
+          context: The inputs from which the share would be computed, with
+            unconfirmed nodes.
           others: Nodes that may use a share, without those that are silent.
+          unconfirmed: Nodes of which only a record is known.
         """
         ...
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -129,12 +129,16 @@
         self._pools = pools
 
     def counterparts(
-        self, context: limiters.LimiterContext, others: frozenset[str]
+        self,
+        context: limiters.LimiterContext,
+        others: frozenset[str],
+        unconfirmed: frozenset[str],
     ) -> frozenset[str]:
         """See Limiter.
 
         Where rates may be divided, each share depends on all nodes. A pool is
-        taken over from the node that would own it without this one.
+        taken over from the node that would own it without this one. An
+        unconfirmed node owns none, so this one takes over from it as well.
         """
         if context.hosts <= _MAX_DIVIDING_HOSTS:
             return others
@@ -146,6 +150,8 @@
             )
             if first == context.own_id:
                 previous.update(second)
+            elif first in unconfirmed:
+                previous.add(first)
         return frozenset(previous)
 
     def demand(self, now: float) -> dict[str, float]:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -98,10 +98,13 @@
         }
 
     def counterparts(
-        self, context: limiters.LimiterContext, others: frozenset[str]
+        self,
+        context: limiters.LimiterContext,
+        others: frozenset[str],
+        unconfirmed: frozenset[str],
     ) -> frozenset[str]:
         """See Limiter; each node's share depends on the number of all."""
-        del context
+        del context, unconfirmed
         return others
 
     def share(self, organisation: str, now: float) -> limiters.ShareState:
--- a/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
@@ -143,10 +143,13 @@
         self._holders = tuple(sorted(holders))
 
     def counterparts(
-        self, context: limiters.LimiterContext, others: frozenset[str]
+        self,
+        context: limiters.LimiterContext,
+        others: frozenset[str],
+        unconfirmed: frozenset[str],
     ) -> frozenset[str]:
         """See Limiter; the epochs of the roster divide the rates."""
-        del context, others
+        del context, others, unconfirmed
         return frozenset()
 
     def share(self, organisation: str, now: float) -> limiters.ShareState:
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -262,7 +262,7 @@
         try:
             answer = await link.introduce(node, _Link(self, name, other), other)
         except errors.UnreachableError:
-            await trio.sleep(_TIME_OUT_S)
+            await trio.sleep(joining._ANSWER_TIMEOUT_S)
             return joining.Presence.SILENT
         return joining.presence_of(entry, answer)
 
