Wait in tests until nodes have joined the fleet

The log shows the request 6 ms after one node had joined, at a node that had the entries of all others but had not joined yet, so that it was not ready and refused truly (no-configuration, not run). Change: wait_until_settled of the harness also waits for this state. No check of a test is changed.

--- a/tests/common/mesh_fleet.py
+++ b/tests/common/mesh_fleet.py
@@ -129,11 +129,12 @@
         self._scopes[name].cancel()
 
     async def wait_until_settled(self) -> None:
-        """Waits until every node has entries of all nodes and endpoints."""
+        """Waits until every node has joined and has entries of all others."""
 
         def is_settled() -> bool:
             return all(
-                len(node.fleet) == len(self.nodes) - 1
+                node.is_fleet_loaded
+                and len(node.fleet) == len(self.nodes) - 1
                 and all(entry.service for entry in node.fleet.entries)
                 and node.target.is_serving
                 for node in self.nodes.values()
