--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../target/bin/python3 ] || exit 2
+exec ../../target/bin/python3 case.py
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -640,6 +640,9 @@
         self._number = 0
         self.sent = {}
         self.answers = {}
+        self.answered_at = {}
+        # Requests whose answer doesn't come from an endpoint.
+        self.own_answers = set()
 
     async def send(self, method, path, deadline_ms, body=b""):
         self._number += 1
@@ -664,6 +667,9 @@
         status = status_of(answer)
         self.answers[name] = status
         signed = bool(answer) and "response-signature" in answer[1]
+        self.answered_at[name] = self._record.now()
+        if answer and not signed:
+            self.own_answers.add(name)
         reason = answer[1].get("sassafras-outcome", "") if answer else ""
         self._record.line(
             f"client got {name} {status or 'no answer'}"
