--- a/review/15/case.py
+++ b/review/15/case.py
@@ -67,7 +67,7 @@
         f" broken off before {LAST_SIXTH_S:.2f} s with an answer of the node;"
         f" the work for {len(in_time)} of them would have ended before that"
     )
-    if in_time:
+    if broken_off:
         return (
             f"LOST: {len(broken_off)} requests were broken off before the last"
             f" sixth of GraceS; {len(in_time)} would have ended before it"
