--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,87 +1,117 @@
-"""Requests that wait for a slot reach an endpoint long after it has left."""
+"""Two nodes grant the whole rate of an organisation at the same time."""
 
 import asyncio
 import pathlib
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+ROOT = FOLDER.parent.parent
+sys.path[:0] = [str(FOLDER.parent), str(ROOT / "target/deps")]
 
 import standins_3 as standins  # noqa: E402
+from sassafras_base import hashing  # noqa: E402
 
-DRAIN_S = 2.0
-# The endpoint stays a little longer than it has to, and then exits.
-STAY_S = DRAIN_S + 1.5
-# Requests of the largest site take up to 4.3 s.
-WORK_S = 1.6
-USUAL_PER_S = 6
-# Many users come at once: the usual requests of 6 s.
-BURST = 36
+# `platform_down` with how `nodes busy` lasts for 9 s in the site files.
+REJECTED_S = 9.0
+RATE_PER_S = 100
+BURST = 100
+WINDOW_S = 5.0
+LIMIT = (RATE_PER_S * WINDOW_S + BURST) * (1 + 0.1) + 20
 
-HOST = "ledger.example"
+HOST = "desk.example"
+KEY = "key-of-the-tenant"
+MACHINES = [f"desk-{number:02}" for number in range(1, 21)]
+ZONES = {
+    name: "zone-a" if number % 2 else "zone-b"
+    for number, name in enumerate(MACHINES)
+}
+LAYOUT = [(name, zone, "desk", 50, 0.02) for name, zone in ZONES.items()]
+
+
+def holder_of(tenant):
+    """Returns the node that grants the rate of a tenant."""
+    return hashing.rendezvous(tenant, MACHINES, 1)[0]
+
+
+def near(name):
+    """Returns the other machines of the zone."""
+    return [m for m in MACHINES if ZONES[m] == ZONES[name] and m != name]
+
+
+def is_linked(name):
+    """Returns whether the nodes of its zone keep links to a node."""
+    zone = ZONES[name]
+    return name in hashing.rendezvous(zone, [name, *near(name)], 3)
+
+
+# With links to the holder, the nodes of its zone would go on to count it.
+TENANT = next(
+    name
+    for name in (f"tenant-{number}" for number in range(1, 100))
+    if not is_linked(holder_of(name))
+)
 DOCUMENT = standins.configuration(
     1,
+    [standins.route("look", HOST, "/look/", "desk", "safe", 0)],
     [
-        standins.route("post", HOST, "/post/", "ledger", "unsafe", 0),
-        standins.route("look", HOST, "/look/", "desk", "safe", 2),
+        {
+            "Name": TENANT,
+            "ApiKeys": [KEY],
+            "Priority": 0,
+            "RatePerS": RATE_PER_S,
+            "Burst": BURST,
+        }
     ],
 )
-LAYOUT = [
-    ("desk-1", "zone-a", "desk", 20, 0.1),
-    ("ledger-1", "zone-a", "ledger", 8, WORK_S),
-    ("ledger-2", "zone-b", "ledger", 8, WORK_S),
-    ("desk-2", "zone-b", "desk", 20, 0.1),
-]
 
 
 async def play(deployment, is_trouble):
     record = deployment.record
-    leaving = deployment.endpoints["ledger-1"]
-    client = standins.Client(record, deployment.machines["desk-1"], HOST)
-    pressing = asyncio.create_task(
-        client.press(
-            USUAL_PER_S, record.now() + 22, "POST", "/post/1", 6000, b"entry"
+    # The node that grants the rate; the store rejects this one machine.
+    holder = holder_of(TENANT)
+    record.say(f"{holder} grants the rate of {TENANT}")
+    end_s = record.now() + 26
+    pressing = [
+        asyncio.create_task(
+            standins.Client(
+                record, deployment.machines[name], HOST, KEY
+            ).press(per_s, end_s, "GET", "/look/1", 3000)
         )
-    )
-    await asyncio.sleep(12)
-    burst = []
-    if is_trouble:
-        record.say(f"{BURST} requests come at once")
-        burst = [
-            asyncio.create_task(client.send("POST", "/post/1", 6000, b"entry"))
-            for _ in range(BURST)
+        for name, per_s in [
+            (holder, 1.1 * RATE_PER_S),
+            *((name, 0.3 * RATE_PER_S) for name in near(holder)[:4]),
         ]
-        await asyncio.sleep(0.3)
-    acknowledged_at = await leaving.announce("draining")
-    record.say(f"{leaving.id} drains, and 200 acknowledges it")
-    await asyncio.sleep(max(0.0, acknowledged_at + STAY_S - record.now()))
-    at_work = set(name for _, name in leaving.arrivals)
-    at_work -= set(leaving.finished)
-    await leaving.deregister()
-    await leaving.exit()
-    await pressing
-    await asyncio.gather(*burst)
-    late = [
-        (at, name)
-        for at, name in leaving.arrivals
-        if at > acknowledged_at + DRAIN_S
     ]
-    lost = [
-        name
-        for _, name in late
-        if name in at_work and client.answers.get(name, 0) != 200
-    ]
-    record.say(
-        f"acknowledged at {acknowledged_at:.3f}; {len(late)} requests reached"
-        f" the endpoint more than {DRAIN_S:.0f} s later;"
-        f" {len(lost)} of them were lost at its end"
+    await asyncio.sleep(6)
+    if is_trouble:
+        renewed_at = deployment.store.renewed_at[holder]
+        while deployment.store.renewed_at[holder] == renewed_at:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1.8)
+        deployment.store.rejected.add(holder)
+        record.say(f"the store answers {holder} with 503")
+        await asyncio.sleep(REJECTED_S)
+        deployment.store.rejected.clear()
+        record.say(f"the store serves {holder} again")
+    await asyncio.gather(*pressing)
+    times = sorted(
+        at
+        for endpoint in deployment.endpoints.values()
+        for at, _ in endpoint.arrivals
     )
-    if late:
-        return (
-            f"DRAIN: {len(late)} requests reached an endpoint up to"
-            f" {late[-1][0] - acknowledged_at:.2f} s after its leaving was"
-            f" acknowledged; {len(lost)} of them were lost at its end"
+    most, begin = max(
+        (
+            sum(first <= at < first + WINDOW_S for at in times[number:]),
+            first,
         )
+        for number, first in enumerate(times)
+    )
+    record.say(
+        f"at most {most} requests ran within {WINDOW_S:.0f} s, from"
+        f" {begin:.3f}; the limit is {LIMIT:.0f}"
+    )
+    if most > LIMIT:
+        return f"QUOTA: {most} requests ran in a window; {LIMIT:.0f} may"
     return ""
 
 
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,76 +1,106 @@
-"""A planned stop breaks off requests before the last sixth of GraceS."""
+"""After a freeze of one machine, tenants are refused for good elsewhere."""
 
 import asyncio
+import collections
 import pathlib
 import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+ROOT = FOLDER.parent.parent
+sys.path[:0] = [str(FOLDER.parent), str(ROOT / "target/deps")]
 
 import standins_3 as standins  # noqa: E402
+from sassafras_base import hashing  # noqa: E402
 
-GRACE_S = 6.0
-LAST_SIXTH_S = GRACE_S * 5 / 6
-# Requests of the largest site take up to 4.3 s.
-WORK_S = 3.4
-DEADLINE_MS = 7000
-PER_S = 60
+# `node_freeze` lasts for 3.5 s in the site files.
+FROZEN_S = 3.0
+RATE_PER_S = 20
+LENGTH_S = 75.0
+BEFORE_S = 6.0
 
-HOST = "ledger.example"
+HOST = "desk.example"
+MACHINES = [f"desk-{number:02}" for number in range(1, 21)]
+LAYOUT = [
+    (name, "zone-a" if number % 2 else "zone-b", "desk", 50, 0.02)
+    for number, name in enumerate(MACHINES)
+]
+TENANTS = [f"tenant-{number}" for number in range(1, 41)]
 DOCUMENT = standins.configuration(
     1,
-    [standins.route("post", HOST, "/post/", "ledger", "unsafe", 0)],
+    [standins.route("look", HOST, "/look/", "desk", "safe", 0)],
+    [
+        {
+            "Name": name,
+            "ApiKeys": [f"key-of-{name}"],
+            "Priority": 0,
+            "RatePerS": RATE_PER_S,
+            "Burst": RATE_PER_S,
+        }
+        for name in TENANTS
+    ],
 )
-LAYOUT = [
-    ("ledger-1", "zone-a", "ledger", 400, WORK_S),
-    ("ledger-2", "zone-b", "ledger", 400, WORK_S),
-    ("ledger-3", "zone-b", "ledger", 400, WORK_S),
-]
+
+
+def most_used_holder():
+    """Returns the node that grants the rates of the most tenants."""
+    holders = collections.Counter(
+        hashing.rendezvous(name, MACHINES, 1)[0] for name in TENANTS
+    )
+    return holders.most_common(1)[0][0]
 
 
 async def play(deployment, is_trouble):
     record = deployment.record
-    machine = deployment.machines["ledger-1"]
-    client = standins.Client(record, machine, HOST)
-    # Before, so that the limits of the endpoints have settled.
-    await client.press(
-        PER_S, record.now() + 12, "POST", "/post/1", DEADLINE_MS, b"entry"
-    )
-    stopped_at = record.now()
+    holder = most_used_holder()
+    # The clients of all tenants use three machines; each tenant asks 6
+    # requests a second of the 20 that it may.
+    used = [name for name in MACHINES if name != holder][:3]
+    clients = [
+        (
+            tenant,
+            standins.Client(
+                record, deployment.machines[name], HOST, f"key-of-{tenant}"
+            ),
+        )
+        for tenant in TENANTS
+        for name in used
+    ]
+    end_s = record.now() + LENGTH_S
+    pressing = [
+        asyncio.create_task(client.press(2, end_s, "GET", "/look/1", 3000))
+        for _, client in clients
+    ]
+    await asyncio.sleep(BEFORE_S)
     if is_trouble:
-        machine.signal(signal.SIGTERM)
-        record.say("ledger-1 gets SIGTERM")
-    # Clients get new work until two questions for readiness have failed.
-    await client.press(
-        PER_S, stopped_at + 1.9, "POST", "/post/1", DEADLINE_MS, b"entry"
-    )
-    begun = {
-        name: at
-        for endpoint in deployment.endpoints.values()
-        for at, name in endpoint.arrivals
-    }
-    broken_off = []
-    in_time = []
-    for name, sent_at in client.sent.items():
-        if sent_at < stopped_at or name not in begun:
-            continue
-        # Its endpoint was at work, and the caller would have waited longer.
-        if name in client.own_answers:
-            answered_s = client.answered_at[name] - stopped_at
-            if answered_s < LAST_SIXTH_S:
-                broken_off.append(name)
-                if begun[name] + WORK_S - stopped_at < LAST_SIXTH_S - 0.01:
-                    in_time.append(name)
+        machine = deployment.machines[holder]
+        machine.signal(signal.SIGSTOP)
+        record.say(f"{holder} freezes; it has no clients")
+        await asyncio.sleep(FROZEN_S)
+        machine.signal(signal.SIGCONT)
+        record.say(f"{holder} wakes")
+    await asyncio.gather(*pressing)
+    asked = collections.Counter()
+    served = collections.Counter()
+    for tenant, client in clients:
+        asked[tenant] += len(client.sent)
+        served[tenant] += list(client.answers.values()).count(200)
+    share_of_all = served.total() / asked.total()
+    starved = []
+    for tenant in TENANTS:
+        share = served[tenant] / asked[tenant]
+        if share < share_of_all / 4:
+            starved.append(tenant)
+            record.say(
+                f"{tenant}: {served[tenant]} of {asked[tenant]} requests served"
+            )
     record.say(
-        f"{len(broken_off)} requests at which an endpoint was at work were"
-        f" broken off before {LAST_SIXTH_S:.2f} s with an answer of the node;"
-        f" the work for {len(in_time)} of them would have ended before that"
+        f"all tenants: {served.total()} of {asked.total()} requests served"
     )
-    if broken_off:
+    if starved:
         return (
-            f"LOST: {len(broken_off)} requests were broken off before the last"
-            f" sixth of GraceS; {len(in_time)} would have ended before it"
+            f"Starved: {len(starved)} of {len(TENANTS)} tenants are served less"
+            " than a quarter as often as all, below their rates, until the end"
         )
     return ""
 
