Count admission levels over the priorities in use

Cause: the levels of the target and of the processor kept a list with 128 places for each priority up to the largest, 3.8 million numbers, and made it anew several times a second. `ColdPerS` sized a ring of times in the same way.

Ruled out: the relay of the version (a single node fails), the requests of the new route (nobody asks for it), one route more (priority 0 holds).

Change: arrivals are counted for the ranks that calls have; steps and means are taken over positions, which count only priorities in use. Levels and ranks between nodes are as before, so nodes of other versions and of earlier code keep the same order. A level survives a change of the priorities; one that was open stays open. Tests that made levels from a number of classes make them from a scale of as many priorities; no check in them has changed.

--- a/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
+++ b/packages/sassafras-node/src/sassafras_node/admin/routes/status.py
@@ -6,7 +6,6 @@
 from sassafras_node.admin import replies
 from sassafras_node.admin import routing
 from sassafras_node.admin.routes import targets
-from sassafras_policy.admission import levels
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import document as documents
 from sassafras_wire.administration import models
@@ -64,7 +63,7 @@
 
 def _open_level(runtime: runtimes.Runtime) -> int:
     index = runtime.configuration.index
-    return levels.open_level(index.class_count) if index else 0
+    return index.scale.open_level if index else 0
 
 
 def _levels(runtime: runtimes.Runtime) -> dict[str, int]:
@@ -72,11 +71,10 @@
     index = runtime.configuration.index
     if index is None:
         return {}
-    initial_level = _open_level(runtime)
     now = runtime.clock.now()
     by_service = {
         service.name: int(
-            runtime.service_levels.value(service.name, initial_level, now)
+            runtime.service_levels.value(service.name, index.scale, now)
         )
         for service in index.document.services
     }
--- a/packages/sassafras-node/src/sassafras_node/calls/shedding.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/shedding.py
@@ -25,8 +25,10 @@
             return refusal
     response = await dispatch.dispatch(runtime, request, call)
     now = runtime.clock.now()
-    for service, level in response.levels:
-        runtime.service_levels.update(service, level, now)
+    index = runtime.configuration.index
+    if index is not None:
+        for service, level in response.levels:
+            runtime.service_levels.update(service, level, index.scale, now)
     return response
 
 
@@ -41,7 +43,7 @@
     found = runtime.service_levels.refusing_service(
         index.reachable(request.service),
         call.context,
-        levels.open_level(index.class_count),
+        index.scale,
         runtime.clock.now(),
     )
     if found is None:
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -124,7 +124,11 @@
             history.progress.may_have_run = may_have_run
         for service, level in response.levels:
             runtime.downstream_levels.update(
-                service, call.route, level, runtime.clock.now()
+                service,
+                call.route,
+                level,
+                runtime.scale,
+                runtime.clock.now(),
             )
         if not _may_send_again(runtime, call, history, response):
             return response
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/local.py
@@ -229,9 +229,7 @@
     if not cold_start.rate_per_s:
         return None
     now = runtime.clock.now()
-    if not cold_start.refuses(
-        call.context, runtime.target.gate.open_level, now
-    ):
+    if not cold_start.refuses(call.context, runtime.scale, now):
         return None
     return _withhold(
         runtime,
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -19,6 +19,7 @@
 from sassafras_node.mesh.targets import local_target
 from sassafras_node.peers import target_tracking
 from sassafras_policy.admission import memory as memories
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import processor
 from sassafras_policy.admission import returns
 from sassafras_policy.admission import whole_requests
@@ -79,6 +80,7 @@
       platform: The adapter.
       clock: Source of time.
       routing: Index of the active configuration; None before the first.
+      scale: The priorities of that configuration.
       document: Encoded form of that configuration, for other nodes.
       freshness: Age of the proof that it is the newest.
       evacuations: Availability zones whose targets get no calls.
@@ -149,6 +151,7 @@
         self.clock = clock
         self.rng = rng
         self.routing: routing.RoutingTable | None = None
+        self.scale = priorities.PriorityScale()
         self.document = b""
         self.freshness = freshness.Freshness(settings.bounds.revocation_s)
         self.fleet = fleets.Fleet(
@@ -322,12 +325,13 @@
             ),
             idle_timeout_s=limits.idle_timeout_s,
         )
-        class_count = _class_count(decoded)
-        self.target.set_class_count(class_count)
+        previous, self.scale = self.scale, _scale(decoded)
+        self.downstream_levels.rescale(previous, self.scale)
+        self.target.set_scale(self.scale)
         self.target.cold_start.configure(
             self.routing.cold_rate_per_s(self.settings.host.target_service)
         )
-        self.processor.resize(class_count)
+        self.processor.rescale(self.scale)
         route_names = frozenset(r.name for r in decoded.routes)
         self.downstream_levels.keep_routes(route_names)
         self.requests.configure(
@@ -446,7 +450,7 @@
         now = self.clock.now()
         own_level = min(gate.level, self.processor.level)
         return self.downstream_levels.min_level(
-            call.route, own_level, gate.open_level, now
+            call.route, own_level, self.scale, now
         )
 
     def admission_levels(self, call: calls.Call) -> dict[str, int]:
@@ -457,16 +461,15 @@
           responses have told it. The latter is open where requests are admitted
           by the room of the service instead.
         """
-        open_level = self.target.gate.open_level
         if self.requests.is_active and self.requests.covers(
             call.service, self.clock.now()
         ):
             return {
                 "processor_level": self.processor.level,
-                "service_level": open_level,
+                "service_level": self.scale.open_level,
             }
         service_level = self.downstream_levels.level(
-            call.service, call.route, open_level, self.clock.now()
+            call.service, call.route, self.scale, self.clock.now()
         )
         return {
             "processor_level": self.processor.level,
@@ -529,10 +532,9 @@
     return available // (_BODY_COPIES * _BODY_KINDS)
 
 
-def _class_count(source: configuration.Configuration) -> int:
-    """Returns how many ranks routes and organisations use."""
-    ranks = [route.priority for route in source.routes]
-    ranks += [
-        o.priority for o in source.organisations if o.priority is not None
-    ]
-    return max(ranks, default=0) + 1
+def _scale(source: configuration.Configuration) -> priorities.PriorityScale:
+    """Returns the priorities of routes and organisations."""
+    return priorities.scale_of(
+        [route.priority for route in source.routes]
+        + [o.priority for o in source.organisations if o.priority is not None]
+    )
--- a/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/targets/local_target.py
@@ -12,6 +12,7 @@
 from sassafras_policy.admission import cold_starts
 from sassafras_policy.admission import connections
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.mesh import targets
 from sassafras_wire.http import deadlines
 from sassafras_wire.http import pool
@@ -72,7 +73,7 @@
         self._published: targets.Announcement | None = None
         self._announced_at = -math.inf
         self.restored = trio.Event()
-        self._class_count = 1
+        self._scale = priorities.PriorityScale()
         self.cold_start = cold_starts.ColdStart(
             settings.bounds.cold_rate_tolerance,
             settings.bounds.announcement_interval_s,
@@ -148,12 +149,12 @@
         ):
             self._published = previous
 
-    def set_class_count(self, class_count: int) -> None:
-        """Applies the number of ranks of a new configuration."""
-        if class_count != self._class_count:
-            self._class_count = class_count
+    def set_scale(self, scale: priorities.PriorityScale) -> None:
+        """Applies the priorities of a new configuration."""
+        if scale != self._scale:
+            self._scale = scale
             current = self._register.current
-            self.gate.resize(current.capacity if current else 1, class_count)
+            self.gate.resize(current.capacity if current else 1, scale)
 
     async def announce(self, announcement: targets.Announcement) -> bool:
         """Applies an announcement; returns whether to publish it."""
@@ -180,7 +181,7 @@
                 self.gate, self._clock
             )
         elif previous and previous.capacity != announcement.capacity:
-            self.gate.resize(announcement.capacity, self._class_count)
+            self.gate.resize(announcement.capacity, self._scale)
         published = self._published
         if published is not None and _is_same(published, announcement):
             return False
@@ -212,7 +213,7 @@
     def _new_gate(self, slots: int) -> gates.AdmissionGate:
         name = self._settings.policy.admission
         factory = policies.admission_policies.get(name)
-        policy = factory(slots, self._class_count)  # type: ignore[call-arg]
+        policy = factory(slots, self._scale)  # type: ignore[call-arg]
         return gates.AdmissionGate(policy, self._clock)
 
     def _new_pool(self) -> pool.ConnectionPool:
--- a/packages/sassafras-node/src/sassafras_node/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/runtime.py
@@ -186,7 +186,7 @@
         self._wake()
 
     def _on_configuration(self, index: indexes.Index) -> None:
-        self.target.set_class_count(index.class_count)
+        self.target.set_scale(index.scale)
         self.target.set_stopped(index.document.stopped_targets)
         self._configure_limiter()
         self._wake()
--- a/packages/sassafras-node/src/sassafras_node/targets/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/gate.py
@@ -11,6 +11,7 @@
 from sassafras_base import clock as clocks
 from sassafras_base import events
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import reports
@@ -111,13 +112,13 @@
         return self._policy.room(self._clock.now())
 
     @property
-    def open_level(self) -> int:
-        """The level at which every call is admitted."""
-        return self._policy.open_level
+    def scale(self) -> priorities.PriorityScale:
+        """The priorities of the active configuration."""
+        return self._policy.scale
 
-    def resize(self, slots: int, class_count: int) -> None:
-        """Sets the numbers of announced slots and of call classes."""
-        self._policy.resize(slots, class_count)
+    def resize(self, slots: int, scale: priorities.PriorityScale) -> None:
+        """Sets the number of announced slots and the priorities."""
+        self._policy.resize(slots, scale)
 
     async def enter(self, context: messages.CallContext) -> AdmissionResult:
         """Waits for a slot, at most as long as the queue allows.
@@ -232,7 +233,7 @@
         waiter.settled.set()
 
     def _log_change(self, level: int) -> None:
-        overloaded = level < self._policy.open_level
+        overloaded = level < self._policy.scale.open_level
         if overloaded == self._overloaded:
             return
         now = self._clock.now()
--- a/packages/sassafras-node/src/sassafras_node/targets/local_target.py
+++ b/packages/sassafras-node/src/sassafras_node/targets/local_target.py
@@ -3,6 +3,7 @@
 from sassafras_base import clock as clocks
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.membership import records
 from sassafras_wire.http import pool
 from sassafras_wire.settings import node as node_settings
@@ -26,7 +27,7 @@
         self._clock = clock
         self._announcement: records.Announcement | None = None
         self._announced_at = 0.0
-        self._class_count = 1
+        self._scale = priorities.PriorityScale()
         self._stopped: frozenset[str] = frozenset()
         self.gate = self._new_gate(1)
         self.pool = self._new_pool("127.0.0.1:1", 1)
@@ -63,12 +64,12 @@
         """Seconds since the last announcement."""
         return self._clock.now() - self._announced_at
 
-    def set_class_count(self, class_count: int) -> None:
+    def set_scale(self, scale: priorities.PriorityScale) -> None:
         """Sets the number of call classes of a new configuration."""
-        if class_count != self._class_count:
-            self._class_count = class_count
+        if scale != self._scale:
+            self._scale = scale
             if self._announcement is not None:
-                self.gate.resize(_slot_count(self._announcement), class_count)
+                self.gate.resize(_slot_count(self._announcement), scale)
 
     def set_stopped(self, addresses: tuple[str, ...]) -> None:
         """Sets the addresses of the targets that operators have stopped."""
@@ -86,7 +87,7 @@
             )
             self.gate = self._new_gate(_slot_count(announcement))
         elif _slot_count(known) != _slot_count(announcement):
-            self.gate.resize(_slot_count(announcement), self._class_count)
+            self.gate.resize(_slot_count(announcement), self._scale)
 
     async def withdraw(self) -> None:
         """Removes a target that no longer announces itself."""
@@ -96,7 +97,7 @@
     def _new_gate(self, slots: int) -> gates.AdmissionGate:
         name = self._settings.policy.admission
         factory = policies.admission_policies.get(name)
-        policy = factory(slots, self._class_count)  # type: ignore[call-arg]
+        policy = factory(slots, self._scale)  # type: ignore[call-arg]
         return gates.AdmissionGate(policy, self._clock)
 
     def _new_pool(self, address: str, connections: int) -> pool.ConnectionPool:
--- a/packages/sassafras-policy/src/sassafras_policy/admission/by_deadline.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/by_deadline.py
@@ -2,6 +2,7 @@
 
 from sassafras_policy.admission import concurrency
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import room
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import reports
@@ -22,8 +23,8 @@
     request for which work has been done.
     """
 
-    def __init__(self, slots: int, class_count: int) -> None:
-        super().__init__(slots, class_count)
+    def __init__(self, slots: int, scale: priorities.PriorityScale) -> None:
+        super().__init__(slots, scale)
         self._meter = room.RoomMeter()
 
     def _make_limit(self, slots: int) -> concurrency.Limit:
--- a/packages/sassafras-policy/src/sassafras_policy/admission/cold_starts.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/cold_starts.py
@@ -4,8 +4,10 @@
 alone keeps the rate; no part of it has to be agreed on with others.
 """
 
+import collections
 import math
 
+from sassafras_policy.admission import priorities
 from sassafras_policy.calls import messages
 from sassafras_policy.limits import limiters
 
@@ -50,21 +52,18 @@
         self._announcements_needed = 0
         self._tokens = 0.0
         self._refilled_at = 0.0
-        # A ring of the times of as many calls as one window may have.
-        self._sent_at: list[float] = []
-        self._oldest = 0
+        # Calls that one window may have, and the times of those in the last.
+        self._bound = 0.0
+        self._sent_at: collections.deque[float] = collections.deque()
 
     def configure(self, rate_per_s: float) -> None:
         """Sets the rate of the target's service."""
         if rate_per_s == self.rate_per_s:
             return
         self.rate_per_s = rate_per_s
-        bound = int(
+        self._bound = (
             rate_per_s * (1 + self._tolerance.ratio) + self._tolerance.requests
         )
-        kept = sorted(self._sent_at)[-bound:] if bound else []
-        self._sent_at = [-math.inf] * (bound - len(kept)) + kept
-        self._oldest = 0
 
     def announce(
         self, remaining_s: float, is_new_start: bool, now: float
@@ -113,36 +112,44 @@
         return max(0.0, self._cold_until - now, needed * self._interval_s)
 
     def refuses(
-        self, context: messages.CallContext, open_level: int, now: float
+        self,
+        context: messages.CallContext,
+        scale: priorities.PriorityScale,
+        now: float,
     ) -> bool:
         """Returns whether a call may not be sent to the target now.
 
         Args:
           context: Rank of the call.
-          open_level: The number of ranks.
+          scale: The priorities of the active configuration.
           now: The current time.
         """
         if not self.is_cold(now):
             return False
-        if not self._sent_at:
-            return True
-        if now - self._sent_at[self._oldest] < _WINDOW_S + _MAX_DELAY_S:
+        self._forget_before(now)
+        if len(self._sent_at) + 1 > self._bound:
             return True
         self._refill(now)
-        return self._tokens < self._wanted_tokens(context, open_level)
+        return self._tokens < self._wanted_tokens(context, scale)
 
     def record_call(self, now: float) -> None:
         """Counts a call that is about to be sent, to a warm target as well."""
-        if not self._sent_at:
-            return
-        self._sent_at[self._oldest] = now
-        self._oldest = (self._oldest + 1) % len(self._sent_at)
+        self._sent_at.append(now)
+        self._forget_before(now)
         if self.is_cold(now):
             self._refill(now)
             self._tokens -= 1.0
 
+    def _forget_before(self, now: float) -> None:
+        """Forgets calls of windows that have ended, or beyond the bound."""
+        while self._sent_at and (
+            now - self._sent_at[0] >= _WINDOW_S + _MAX_DELAY_S
+            or len(self._sent_at) > self._bound
+        ):
+            self._sent_at.popleft()
+
     def _wanted_tokens(
-        self, context: messages.CallContext, open_level: int
+        self, context: messages.CallContext, scale: priorities.PriorityScale
     ) -> float:
         """Returns how full the bucket has to be for a call.
 
@@ -154,7 +161,7 @@
         if context.depth:
             rank -= context.bucket
         reserved = (self._burst - 1.0) * _RESERVED_SHARE
-        return 1.0 + reserved * min(1.0, rank / open_level)
+        return 1.0 + reserved * scale.position(rank) / scale.size
 
     def _is_silent(self, now: float) -> bool:
         return now - self._announced_at > self._max_silence_s
--- a/packages/sassafras-policy/src/sassafras_policy/admission/paced.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/paced.py
@@ -4,6 +4,7 @@
 
 from sassafras_policy.admission import concurrency
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.balancing import pace
 from sassafras_policy.calls import messages
 
@@ -50,9 +51,9 @@
 
     uses_answers: ClassVar[bool] = True
 
-    def __init__(self, slots: int, class_count: int) -> None:
+    def __init__(self, slots: int, scale: priorities.PriorityScale) -> None:
         self._pace = pace.Pace(slots)
-        super().__init__(slots, class_count)
+        super().__init__(slots, scale)
 
     @property
     def is_open(self) -> bool:
--- a/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/policies.py
@@ -7,6 +7,7 @@
 from sassafras_base import registry
 from sassafras_policy.admission import concurrency
 from sassafras_policy.admission import levels
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import reports
@@ -72,8 +73,8 @@
         ...
 
     @property
-    def open_level(self) -> int:
-        """The level at which every call is admitted."""
+    def scale(self) -> priorities.PriorityScale:
+        """The priorities of the active configuration."""
         ...
 
     def level(self, now: float) -> int:
@@ -84,8 +85,8 @@
         """Returns the room to report with responses; None to report none."""
         ...
 
-    def resize(self, slots: int, class_count: int) -> None:
-        """Changes the numbers of announced slots and of classes."""
+    def resize(self, slots: int, scale: priorities.PriorityScale) -> None:
+        """Changes the number of announced slots and the priorities."""
         ...
 
     def decide(self, context: messages.CallContext, now: float) -> Decision:
@@ -219,9 +220,9 @@
 
     uses_answers: ClassVar[bool] = False
 
-    def __init__(self, slots: int, class_count: int) -> None:
+    def __init__(self, slots: int, scale: priorities.PriorityScale) -> None:
         self._in_flight = 0
-        self.resize(slots, class_count)
+        self.resize(slots, scale)
 
     @property
     def load(self) -> float:
@@ -234,24 +235,24 @@
         return self._slots
 
     @property
-    def open_level(self) -> int:
+    def scale(self) -> priorities.PriorityScale:
         """See AdmissionPolicy."""
-        return self._open_level
+        return self._scale
 
     def level(self, now: float) -> int:
         """See AdmissionPolicy."""
         del now
-        return self._open_level
+        return self._scale.open_level
 
     def room(self, now: float) -> reports.Room | None:
         """See AdmissionPolicy."""
         del now
         return None
 
-    def resize(self, slots: int, class_count: int) -> None:
+    def resize(self, slots: int, scale: priorities.PriorityScale) -> None:
         """See AdmissionPolicy."""
         self._slots = max(1, slots)
-        self._open_level = levels.open_level(class_count)
+        self._scale = scale
 
     def finished(self, latency_s: float, success: bool, now: float) -> None:
         """See AdmissionPolicy."""
@@ -287,7 +288,7 @@
         del context, now
         admitted = self._in_flight < self._slots
         self._in_flight += admitted
-        return Decision(admitted=admitted, level=self._open_level)
+        return Decision(admitted=admitted, level=self._scale.open_level)
 
 
 @admission_policies.register("unlimited")
@@ -298,7 +299,7 @@
         """See AdmissionPolicy."""
         del context, now
         self._in_flight += 1
-        return Decision(admitted=True, level=self._open_level)
+        return Decision(admitted=True, level=self._scale.open_level)
 
 
 @admission_policies.register("adaptive")
@@ -313,13 +314,12 @@
 
     uses_answers: ClassVar[bool] = False
 
-    def __init__(self, slots: int, class_count: int) -> None:
+    def __init__(self, slots: int, scale: priorities.PriorityScale) -> None:
         self._slots = max(1, slots)
         self._limit = self._make_limit(slots)
         self._queue = queueing.WaitingQueue()
-        self._class_count = class_count
-        self._open_level = levels.open_level(class_count)
-        self._levels = levels.LevelController(class_count)
+        self._scale = scale
+        self._levels = levels.LevelController(scale)
         self._in_flight = 0
         self._paused = 0
 
@@ -338,9 +338,9 @@
         return self._limit.value
 
     @property
-    def open_level(self) -> int:
+    def scale(self) -> priorities.PriorityScale:
         """See AdmissionPolicy."""
-        return self._open_level
+        return self._scale
 
     def level(self, now: float) -> int:
         """See AdmissionPolicy."""
@@ -351,14 +351,13 @@
         del now
         return None
 
-    def resize(self, slots: int, class_count: int) -> None:
+    def resize(self, slots: int, scale: priorities.PriorityScale) -> None:
         """See AdmissionPolicy."""
         self._slots = max(1, slots)
         self._limit.resize(slots)
-        if class_count != self._class_count:
-            self._class_count = class_count
-            self._open_level = levels.open_level(class_count)
-            self._levels = levels.LevelController(class_count)
+        if scale != self._scale:
+            self._scale = scale
+            self._levels.rescale(scale)
 
     def decide(self, context: messages.CallContext, now: float) -> Decision:
         """See AdmissionPolicy."""
@@ -455,7 +454,7 @@
         if context.depth:
             left_s = context.deadline - now
             max_wait_s = max(max_wait_s, _SUB_CALL_WAIT_SHARE * left_s)
-        if context.priority >= self._class_count - 1:
+        if context.priority >= self._scale.priorities[-1]:
             return max_wait_s
         return max(max_wait_s, _MAX_WAIT_SERVICE_TIMES * self._limit.baseline_s)
 
--- a/packages/sassafras-policy/src/sassafras_policy/admission/processor.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/processor.py
@@ -6,7 +6,7 @@
 not show it.
 """
 
-from sassafras_policy.admission import levels
+from sassafras_policy.admission import priorities
 
 # A process that was frozen is late once, by any time.
 _MAX_LAG_S = 0.2
@@ -22,6 +22,8 @@
 _GROWTH_PER_S = 0.6
 _GROWTH_INCREASE_PER_S2 = 0.2
 _HISTORY_S = 1.0
+# Arrivals of a rank that have decayed to less than this are forgotten.
+_MIN_ARRIVALS = 1e-6
 
 
 class ProcessorAdmission:
@@ -32,8 +34,9 @@
     """
 
     def __init__(self) -> None:
-        self._open_level = levels.open_level(1)
-        self._arrivals = [0.0] * self._open_level
+        self._open_level = priorities.PriorityScale().open_level
+        # Of the ranks that calls had lately, not of all that there are.
+        self._arrivals: dict[int, float] = {}
         self._level = self._open_level
         self._share = 1.0
         self._lag_s = 0.0
@@ -50,12 +53,10 @@
         """The level; root requests from that rank on are refused."""
         return self._level
 
-    def resize(self, class_count: int) -> None:
-        """Sets the number of call classes."""
-        open_level = levels.open_level(class_count)
-        if open_level != self._open_level:
-            self._open_level = open_level
-            self._arrivals = [0.0] * open_level
+    def rescale(self, scale: priorities.PriorityScale) -> None:
+        """Applies the priorities of a new configuration."""
+        if scale.open_level != self._open_level:
+            self._open_level = scale.open_level
             self._level = self._level_for_share()
 
     def record_lag(self, lag_s: float, now: float) -> None:
@@ -77,21 +78,26 @@
         self._level = self._level_for_share()
         if self._share < 1.0:
             kept = max(0.0, 1.0 - span_s / _HISTORY_S)
-            self._arrivals = [count * kept for count in self._arrivals]
+            self._arrivals = {
+                rank: count * kept
+                for rank, count in self._arrivals.items()
+                if count * kept >= _MIN_ARRIVALS
+            }
         else:
-            self._arrivals = [0.0] * self._open_level
+            self._arrivals.clear()
 
     def record_call(self, rank: int) -> None:
         """Counts a call that this node has read."""
-        self._arrivals[min(rank, self._open_level - 1)] += 1.0
+        self._arrivals[rank] = self._arrivals.get(rank, 0.0) + 1.0
 
     def _level_for_share(self) -> int:
         """Returns the lowest level that admits the share of the arrivals."""
         if self._share >= 1.0:
             return self._open_level
-        wanted = self._share * sum(self._arrivals)
-        for rank, count in enumerate(self._arrivals):
-            wanted -= count
+        ranks = sorted(self._arrivals)
+        wanted = self._share * sum(self._arrivals[rank] for rank in ranks)
+        for rank in ranks:
+            wanted -= self._arrivals[rank]
             if wanted < 0.0:
-                return max(1, rank)
+                return min(max(1, rank), self._open_level)
         return self._open_level
--- a/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
+++ b/packages/sassafras-policy/src/sassafras_policy/configuration/indexes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sassafras_base import hashing
+from sassafras_policy.admission import priorities
 from sassafras_policy.configuration import document as documents
 
 
@@ -92,10 +93,12 @@
 
     Attributes:
       document: The revision that the index was built from.
+      scale: The priorities of its classes.
     """
 
     def __init__(self, document: documents.Document) -> None:
         self.document = document
+        self.scale = priorities.scale_of_classes(len(document.classes))
         self._organisations = {o.name: o for o in document.organisations}
         self._by_digest = {
             key.digest: organisation
@@ -113,11 +116,6 @@
         self._calls = {s.name: s.calls for s in document.services}
         self._reachable = {name: self._reach(name) for name in self._calls}
 
-    @property
-    def class_count(self) -> int:
-        """The number of classes of the document."""
-        return len(self.document.classes)
-
     def find_route(self, method: str, path: str) -> RouteEntry | None:
         """Returns the first route that matches, or None."""
         segments = tuple(path.split("/"))
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/downstream.py
@@ -1,6 +1,7 @@
 """Admission levels of the downstream services that each route calls."""
 
 from sassafras_policy.admission import levels
+from sassafras_policy.admission import priorities
 
 # Time constant of the running means. It can be short, as nodes receive hundreds
 # of responses a second from each overloaded service, and should be, as a level
@@ -28,6 +29,14 @@
             if route in names
         }
 
+    def rescale(
+        self,
+        previous: priorities.PriorityScale,
+        scale: priorities.PriorityScale,
+    ) -> None:
+        """Applies the priorities of a new configuration."""
+        self._levels.rescale(previous, scale)
+
     def record_call(self, parent_route: str, service: str, route: str) -> None:
         """Records that a request of a route made a sub-call.
 
@@ -40,38 +49,61 @@
             _key(service, route)
         )
 
-    def update(self, service: str, route: str, level: int, now: float) -> None:
-        """Records the level that a response to a call of a route carried."""
-        self._levels.update(_key(service, route), level, now)
+    def update(
+        self,
+        service: str,
+        route: str,
+        level: int,
+        scale: priorities.PriorityScale,
+        now: float,
+    ) -> None:
+        """Records the level that a response to a call of a route carried.
+
+        Args:
+          service: The service.
+          route: Route of the call.
+          level: The level.
+          scale: The priorities of the active configuration.
+          now: The current time.
+        """
+        self._levels.update(_key(service, route), level, scale, now)
 
     def min_level(
-        self, route: str, own_level: int, open_level: int, now: float
+        self,
+        route: str,
+        own_level: int,
+        scale: priorities.PriorityScale,
+        now: float,
     ) -> int:
         """Returns the lowest level at the target and downstream of it.
 
         Args:
           route: Route of the request.
           own_level: Level of the target that executes the request.
-          open_level: The level at which every call is admitted.
+          scale: The priorities of the active configuration.
           now: The current time.
         """
         level = own_level
         for key in self._calls_by_route.get(route, ()):
-            level = min(level, int(self._levels.value(key, open_level, now)))
+            level = min(level, int(self._levels.value(key, scale, now)))
         return level
 
     def level(
-        self, service: str, route: str, open_level: int, now: float
+        self,
+        service: str,
+        route: str,
+        scale: priorities.PriorityScale,
+        now: float,
     ) -> float:
         """Returns the lowest level at a service and downstream of it.
 
         Args:
           service: The service.
           route: Route of the calls.
-          open_level: The level at which every call is admitted.
+          scale: The priorities of the active configuration.
           now: The current time.
         """
-        return self._levels.value(_key(service, route), open_level, now)
+        return self._levels.value(_key(service, route), scale, now)
 
 
 def _key(service: str, route: str) -> str:
--- a/tests/common/request_fleet.py
+++ b/tests/common/request_fleet.py
@@ -9,6 +9,7 @@
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import whole_requests
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -57,14 +58,14 @@
         self.clock = clocks.TrioClock()
         self.rng = rng
         self.routes = routes
-        self.classes = 1 + max(route.priority for route in routes.values())
+        self.scale = priorities.scale_of(
+            route.priority for route in routes.values()
+        )
         factory = policies.admission_policies.get(admission)
         self.services = {
             name: [
                 Target(
-                    gates.AdmissionGate(
-                        factory(slots, self.classes), self.clock
-                    ),
+                    gates.AdmissionGate(factory(slots, self.scale), self.clock),
                     speed,
                 )
                 for speed in speeds
@@ -104,11 +105,11 @@
             own = reports.ServiceReport(route.service, 1, slot_s, gate.room)
             found.add((own,), now)
         level = self.below[route.service].min_level(
-            name, gate.level, gate.open_level, now
+            name, gate.level, self.scale, now
         )
         if below is not None:
             below.record_call(parent, route.service, name)
-            below.update(route.service, name, level, now)
+            below.update(route.service, name, level, self.scale, now)
         return dataclasses.replace(
             response,
             reports=found.reports(now),
@@ -164,9 +165,7 @@
             route.aim_s,
         )
         decided = node.requests.decide(ask, now)
-        level = node.levels.level(
-            route.service, name, levels.open_level(self.classes), now
-        )
+        level = node.levels.level(route.service, name, self.scale, now)
         is_covered = node.requests.covers(route.service, now)
         delay_s = 0.3 + 0.7 * self.rng.random()
         if isinstance(decided, whole_requests.Shortage):
@@ -189,7 +188,9 @@
             name, route.service, response, now, self.clock.now()
         )
         for service, found in response.levels:
-            node.levels.update(service, name, found, self.clock.now())
+            node.levels.update(
+                service, name, found, self.scale, self.clock.now()
+            )
         return response
 
     async def request(self, name, organisation):
--- a/tests/contract/test_administration_api.py
+++ b/tests/contract/test_administration_api.py
@@ -585,7 +585,8 @@
         assert status["levels"] == {"desk": 256}
         # A level received at a later time does not decay during the test.
         later = site.runtime.clock.now() + 3600.0
-        site.runtime.service_levels.update("desk", 100, later)
+        scale = site.runtime.configuration.index.scale
+        site.runtime.service_levels.update("desk", 100, scale, later)
         await site.runtime.target.withdraw()
         status = (await site.request("GET", "/status")).json
         assert status["levels"] == {"desk": 100}
--- a/tests/contract/test_admission_decisions.py
+++ b/tests/contract/test_admission_decisions.py
@@ -7,11 +7,12 @@
 from sassafras_policy.admission import concurrency
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import queueing
 from sassafras_policy.calls import messages
 
-CLASSES = 3
-OPEN = levels.open_level(CLASSES)
+SCALE = priorities.scale_of_classes(3)
+OPEN = SCALE.open_level
 
 
 def _context(priority=2, bucket=0, deadline=1000.0, depth=0):
@@ -131,7 +132,7 @@
     Each root request makes several calls in sequence. In the order of deadlines
     alone, all of them waited at each call and missed the deadline at the last.
     """
-    policy = policies.Adaptive(1, CLASSES)
+    policy = policies.Adaptive(1, SCALE)
     assert policy.decide(_context(), 0.0).admitted
     old = policy.decide(_context(bucket=90, depth=1, deadline=3.0), 0.0).ticket
     new = policy.decide(_context(bucket=10, depth=1, deadline=9.0), 0.0).ticket
@@ -154,7 +155,7 @@
 
 def test_a_late_call_is_dropped_at_dequeue():
     """Guards against executing a call after its caller's deadline."""
-    policy = policies.Adaptive(1, CLASSES)
+    policy = policies.Adaptive(1, SCALE)
     assert policy.decide(_context(), 0.0).admitted
     late = policy.decide(_context(deadline=0.05), 0.0).ticket
     in_time = policy.decide(_context(deadline=5.0), 0.0).ticket
@@ -175,7 +176,7 @@
 
 def test_important_calls_may_wait_for_a_slow_target():
     """Guards against at-most-once calls refused by a slow service (G2)."""
-    policy = policies.Adaptive(1, CLASSES)
+    policy = policies.Adaptive(1, SCALE)
     now = 0.0
     for _ in range(20):
         assert policy.decide(_context(), now).admitted
@@ -190,7 +191,7 @@
 
 def test_paused_calls_do_not_count_towards_the_limit():
     """Guards against a slow service that blocks the targets upstream of it."""
-    policy = policies.Adaptive(4, CLASSES)
+    policy = policies.Adaptive(4, SCALE)
     now = 0.0
     started = 0
     while policy.decide(_context(), now).admitted:
@@ -213,7 +214,7 @@
 
 def test_the_level_sheds_the_least_important_class_first():
     """Guards against at-most-once calls shed before status checks (G2)."""
-    controller = levels.LevelController(CLASSES)
+    controller = levels.LevelController(SCALE)
     rng = random.Random(7)
     for number in range(20):
         controller.record_arrival(rng.randrange(OPEN), 0.0)
@@ -231,7 +232,7 @@
 
 def test_the_level_skips_classes_without_calls():
     """Guards against a level that sheds late because of unused ranks."""
-    controller = levels.LevelController(CLASSES)
+    controller = levels.LevelController(SCALE)
     now = 0.0
     rng = random.Random(7)
     for _ in range(3):
@@ -245,7 +246,7 @@
 @pytest.mark.parametrize("windows", [3, 50])
 def test_the_level_opens_while_no_calls_arrive(windows):
     """Guards against a level that stays tight when no calls arrive."""
-    controller = levels.LevelController(CLASSES)
+    controller = levels.LevelController(SCALE)
     now = _overload(controller, 0.0, windows, random.Random(7))
     assert not controller.is_open
     assert controller.value(now + 5.0) == OPEN
@@ -253,7 +254,7 @@
 
 def test_the_level_opens_under_steady_calls_after_a_surge():
     """Guards against a level that stays tight while there are free slots."""
-    controller = levels.LevelController(CLASSES)
+    controller = levels.LevelController(SCALE)
     now = _overload(controller, 0.0, 50, random.Random(7))
     end = now + 5.0
     while now < end:
@@ -265,7 +266,7 @@
 
 def test_the_level_always_admits_some_calls():
     """Guards against a service whose recovery can never be observed."""
-    controller = levels.LevelController(CLASSES)
+    controller = levels.LevelController(SCALE)
     now = _overload(controller, 0.0, 500, random.Random(7))
     level = controller.value(now)
     assert not levels.refuses(level, _context(priority=0, bucket=0))
@@ -273,7 +274,7 @@
 
 def test_the_level_refuses_no_call_while_a_slot_is_free():
     """Guards against an idle target while its level is still tight."""
-    policy = policies.Adaptive(4, CLASSES)
+    policy = policies.Adaptive(4, SCALE)
     while policy.decide(_context(), 0.0).admitted:
         pass
     now = 0.0
@@ -298,16 +299,17 @@
     tracker = levels.ServiceLevels()
     reached = frozenset(["desk", "ledger"])
     status = _context(priority=2, bucket=64)
-    assert tracker.refusing_service(reached, status, OPEN, 0.0) is None
-    tracker.update("ledger", 2 * messages.BUCKET_COUNT + 10, 0.0)
-    assert tracker.refusing_service(reached, status, OPEN, 0.1) == (
+    assert tracker.refusing_service(reached, status, SCALE, 0.0) is None
+    tracker.update("ledger", 2 * messages.BUCKET_COUNT + 10, SCALE, 0.0)
+    assert tracker.refusing_service(reached, status, SCALE, 0.1) == (
         "ledger",
         266,
     )
     assert (
-        tracker.refusing_service(frozenset(["desk"]), status, OPEN, 0.1) is None
+        tracker.refusing_service(frozenset(["desk"]), status, SCALE, 0.1)
+        is None
     )
-    assert tracker.refusing_service(reached, status, OPEN, 5.0) is None
+    assert tracker.refusing_service(reached, status, SCALE, 5.0) is None
 
 
 def test_a_small_change_of_the_level_does_not_stop_an_admitted_request():
@@ -324,10 +326,10 @@
     now = 0.0
     for _ in range(100):
         now += 0.01
-        tracker.update("ledger", OPEN, now)
+        tracker.update("ledger", OPEN, SCALE, now)
         now += 0.01
-        tracker.update("ledger", 256, now)
-    assert 300 < tracker.value("ledger", OPEN, now) < 340
+        tracker.update("ledger", 256, SCALE, now)
+    assert 300 < tracker.value("ledger", SCALE, now) < 340
 
 
 @pytest.mark.parametrize(
@@ -335,7 +337,7 @@
 )
 def test_policies_by_name(name, admitted):
     """Guards against baselines that decide like the default policy."""
-    policy = policies.admission_policies.get(name)(4, CLASSES)
+    policy = policies.admission_policies.get(name)(4, SCALE)
     results = [policy.decide(_context(), 0.0).admitted for _ in range(50)]
     assert sum(results) == admitted
     assert policy.level(0.0) == OPEN
@@ -343,7 +345,7 @@
 
 def test_a_sub_call_may_wait_while_there_is_time_to_serve_it():
     """Guards against root requests that fail because of a short queue."""
-    policy = policies.Adaptive(2, 1)
+    policy = policies.Adaptive(2, priorities.PriorityScale())
     for _ in range(policy.limit):
         assert policy.decide(_context(depth=1), 0.0).admitted
     sub_call = policy.decide(_context(priority=0, depth=1, deadline=0.8), 0.0)
--- a/tests/contract/test_overload_path.py
+++ b/tests/contract/test_overload_path.py
@@ -16,6 +16,7 @@
 from sassafras_node.targets import local_target
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.configuration import indexes
@@ -27,7 +28,8 @@
 from sassafras_wire.settings import node as node_settings
 
 OWN_ID = "10.0.0.1:7401"
-OPEN = levels.open_level(len(samples.CLASSES))
+SCALE = priorities.scale_of_classes(len(samples.CLASSES))
+OPEN = SCALE.open_level
 
 
 class FakeTargetPool:
@@ -70,7 +72,7 @@
         target_state=records.TargetState.SERVING,
         slots=slots,
     )
-    gate = gates.AdmissionGate(policy(slots, len(samples.CLASSES)), clock)
+    gate = gates.AdmissionGate(policy(slots, SCALE), clock)
     return types.SimpleNamespace(
         clock=clock,
         configuration=types.SimpleNamespace(
@@ -206,7 +208,7 @@
     assert call.sub_call_tracker.sub_call_s(trio.current_time()) == 1.0
     assert runtime.target.gate.load == 0.0
     assert runtime.service_levels.value(
-        "ledger", OPEN, trio.current_time()
+        "ledger", SCALE, trio.current_time()
     ) == (270)
 
 
@@ -222,7 +224,7 @@
 
     monkeypatch.setattr(dispatch, "dispatch", record_call)
     runtime = _runtime(FakeTargetPool())
-    runtime.service_levels.update("ledger", 270, trio.current_time())
+    runtime.service_levels.update("ledger", 270, SCALE, trio.current_time())
     refused = await shedding.serve(runtime, _request(), _call(bucket=20))
     assert refused.outcome is outcomes.Outcome.NOT_RUN
     assert refused.reason is outcomes.Reason.OVERLOAD
@@ -270,7 +272,7 @@
     runtime = _runtime(FakeTargetPool())
     parent = contexts.SubCallTracker()
     late = _call(bucket=127, depth=1)
-    runtime.service_levels.update("ledger", 270, trio.current_time())
+    runtime.service_levels.update("ledger", 270, SCALE, trio.current_time())
     refused = await shedding.serve(runtime, _request(), late, parent)
     assert refused.outcome is outcomes.Outcome.NOT_RUN
     parent.record_response(refused)
--- a/tests/contract/test_target_gate.py
+++ b/tests/contract/test_target_gate.py
@@ -6,6 +6,7 @@
 from sassafras_base import clock as clocks
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.calls import messages
 
 
@@ -22,7 +23,8 @@
 
 
 def _gate(slots=1):
-    return gates.AdmissionGate(policies.Adaptive(slots, 3), clocks.TrioClock())
+    policy = policies.Adaptive(slots, priorities.scale_of_classes(3))
+    return gates.AdmissionGate(policy, clocks.TrioClock())
 
 
 async def _enter(gate, context, results, name):
--- a/tests/mesh/test_cold_starts.py
+++ b/tests/mesh/test_cold_starts.py
@@ -6,6 +6,7 @@
 
 from sassafras_node.peers import target_tracking
 from sassafras_policy.admission import cold_starts
+from sassafras_policy.admission import priorities
 from sassafras_policy.balancing import balancers
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -16,7 +17,7 @@
 _BOUND = _RATE_PER_S * 1.5 + 8
 _INTERVAL_S = 1.5
 _CLASSES = 3
-_OPEN = _CLASSES * messages.BUCKET_COUNT
+_SCALE = priorities.scale_of_classes(_CLASSES)
 
 
 def _cold_start(rate_per_s=_RATE_PER_S, tolerance=_TOLERANCE):
@@ -31,7 +32,7 @@
 
 def _send(cold_start, now, context=None):
     """Returns whether a call is sent at a time."""
-    if cold_start.refuses(context or _context(), _OPEN, now):
+    if cold_start.refuses(context or _context(), _SCALE, now):
         return False
     cold_start.record_call(now)
     return True
@@ -158,9 +159,9 @@
     now = 1.0
     while _send(cold_start, now):
         pass
-    while cold_start.refuses(_context(1, 127, depth=1), _OPEN, now):
+    while cold_start.refuses(_context(1, 127, depth=1), _SCALE, now):
         now += 0.01
-    assert cold_start.refuses(_context(1, 127), _OPEN, now)
+    assert cold_start.refuses(_context(1, 127), _SCALE, now)
 
 
 def test_without_a_tolerance_the_rate_itself_is_the_bound():
--- a/tests/mesh/test_deadline_admission.py
+++ b/tests/mesh/test_deadline_admission.py
@@ -4,10 +4,11 @@
 
 from sassafras_policy.admission import by_deadline
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.calls import messages
 
 SLOTS = 110
-CLASSES = 3
+SCALE = priorities.scale_of_classes(3)
 
 
 def _context(*, priority=1, bucket=0, deadline=1000.0, depth=1):
@@ -55,7 +56,7 @@
 def _compare_throughput(slowness_of):
     """Returns throughput before, after, and without any limit but the slots."""
     return [
-        _throughput(policy(SLOTS, CLASSES), slowness_of)
+        _throughput(policy(SLOTS, SCALE), slowness_of)
         for policy in (
             policies.Adaptive,
             by_deadline.ByDeadline,
@@ -85,8 +86,8 @@
 def test_calls_wait_as_long_as_they_can_be_served_in_time():
     """Guards against work that is lost to a wait of half the time left."""
     for policy, expected in (
-        (policies.Adaptive(1, CLASSES), False),
-        (by_deadline.ByDeadline(1, CLASSES), True),
+        (policies.Adaptive(1, SCALE), False),
+        (by_deadline.ByDeadline(1, SCALE), True),
     ):
         assert policy.decide(_context(), 0.0).admitted
         policy.finished(0.1, True, 0.1)
@@ -97,7 +98,7 @@
 
 def test_a_call_that_cannot_be_served_in_time_does_not_wait():
     """Guards against slots that are used for responses nobody waits for."""
-    policy = by_deadline.ByDeadline(1, CLASSES)
+    policy = by_deadline.ByDeadline(1, SCALE)
     assert policy.decide(_context(), 0.0).admitted
     policy.finished(0.1, True, 0.1)
     assert policy.decide(_context(), 1.0).admitted
@@ -107,7 +108,7 @@
 
 def test_calls_of_admitted_requests_wait_by_age_not_by_class():
     """Guards against a class whose requests all fail at their last call."""
-    policy = by_deadline.ByDeadline(2, CLASSES)
+    policy = by_deadline.ByDeadline(2, SCALE)
     for _ in range(2):
         assert policy.decide(_context(), 0.0).admitted
     least = policy.decide(_context(priority=2, deadline=1.0), 0.0)
@@ -128,8 +129,8 @@
     every rank, and the most important requests were refused beside it.
     """
     for policy, expected in (
-        (policies.Adaptive(1, CLASSES), False),
-        (by_deadline.ByDeadline(1, CLASSES), True),
+        (policies.Adaptive(1, SCALE), False),
+        (by_deadline.ByDeadline(1, SCALE), True),
     ):
         now = 0.0
         assert policy.decide(_context(), now).admitted
--- a/tests/mesh/test_downstream_levels.py
+++ b/tests/mesh/test_downstream_levels.py
@@ -8,12 +8,14 @@
 from sassafras_node.mesh.calls import dispatch
 from sassafras_platform import front_end
 from sassafras_policy.admission import levels
+from sassafras_policy.admission import priorities
 from sassafras_policy.calls import messages
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import downstream
 from sassafras_standins.platform import documents
 
-OPEN = 3 * messages.BUCKET_COUNT
+SCALE = priorities.scale_of_classes(3)
+OPEN = SCALE.open_level
 
 
 def _context(priority=2, bucket=100, depth=0):
@@ -32,20 +34,22 @@
     """Guards against settlements refused for a directory they never call."""
     tracker = downstream.DownstreamLevels()
     tracker.record_call("lookup", "returns", "directory")
-    tracker.update("returns", "directory", 10, 1.0)
-    assert tracker.min_level("lookup", OPEN, OPEN, 1.0) == 10
-    assert tracker.min_level("settle", OPEN, OPEN, 1.0) == OPEN
+    tracker.update("returns", "directory", 10, SCALE, 1.0)
+    assert tracker.min_level("lookup", OPEN, SCALE, 1.0) == 10
+    assert tracker.min_level("settle", OPEN, SCALE, 1.0) == OPEN
 
 
 def test_a_downstream_level_refuses_requests_of_its_route_only():
     """Guards against a single level for all routes of a service."""
     tracker = downstream.DownstreamLevels()
-    tracker.update("settlement", "lookup", 2 * messages.BUCKET_COUNT, 1.0)
+    tracker.update(
+        "settlement", "lookup", 2 * messages.BUCKET_COUNT, SCALE, 1.0
+    )
     context = _context()
-    level = tracker.level("settlement", "lookup", OPEN, 1.0)
+    level = tracker.level("settlement", "lookup", SCALE, 1.0)
     assert levels.refuses(level, context)
     assert not levels.refuses(level, _context(priority=0))
-    assert tracker.level("settlement", "settle", OPEN, 1.0) == OPEN
+    assert tracker.level("settlement", "settle", SCALE, 1.0) == OPEN
 
 
 def test_calls_of_a_removed_route_are_forgotten():
@@ -53,10 +57,10 @@
     tracker = downstream.DownstreamLevels()
     tracker.record_call("old", "returns", "directory")
     tracker.record_call("new", "returns", "directory")
-    tracker.update("returns", "directory", 10, 1.0)
+    tracker.update("returns", "directory", 10, SCALE, 1.0)
     tracker.keep_routes(frozenset(["new", "directory"]))
-    assert tracker.min_level("old", OPEN, OPEN, 1.0) == OPEN
-    assert tracker.min_level("new", OPEN, OPEN, 1.0) == 10
+    assert tracker.min_level("old", OPEN, SCALE, 1.0) == OPEN
+    assert tracker.min_level("new", OPEN, SCALE, 1.0) == 10
 
 
 @pytest.mark.parametrize(
@@ -117,9 +121,11 @@
         context = contexts["p.c"]
         assert (context.priority, context.bucket) == (1, parent.bucket)
         assert context.depth == 1
-        caller.downstream_levels.update("back", "inner", 7, caller.clock.now())
+        caller.downstream_levels.update(
+            "back", "inner", 7, caller.scale, caller.clock.now()
+        )
         assert (
-            caller.downstream_levels.min_level("first", OPEN, OPEN, 0.0) < OPEN
+            caller.downstream_levels.min_level("first", OPEN, SCALE, 0.0) < OPEN
         )
 
 
@@ -143,7 +149,9 @@
         await fleet.wait_until_version(1)
         await fleet.wait_until_settled()
         node = fleet.nodes["one"]
-        node.downstream_levels.update("front", "safe", 1, node.clock.now())
+        node.downstream_levels.update(
+            "front", "safe", 1, node.scale, node.clock.now()
+        )
         response = await fleet.send_request("one", request_id="r1")
         assert response.status == 503
         ((request_id, service, values),) = logged
--- a/tests/mesh/test_fan_out.py
+++ b/tests/mesh/test_fan_out.py
@@ -3,6 +3,7 @@
 import cbor2
 
 from sassafras_policy.admission import by_deadline
+from sassafras_policy.admission import priorities
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
 from sassafras_policy.calls import reports
@@ -88,7 +89,7 @@
 
 def test_pressure_tells_an_excess_before_the_queue_has_grown():
     """Guards against requests admitted until calls are late."""
-    policy = by_deadline.ByDeadline(10, 1)
+    policy = by_deadline.ByDeadline(10, priorities.PriorityScale())
     now = 0.0
     for number in range(400):
         now = number * 0.01
--- a/tests/mesh/test_processor_admission.py
+++ b/tests/mesh/test_processor_admission.py
@@ -9,10 +9,12 @@
 from sassafras_node import drain as drains
 from sassafras_node.mesh import processor_lag
 from sassafras_policy.admission import levels
+from sassafras_policy.admission import priorities
 from sassafras_policy.admission import processor
 from sassafras_policy.calls import messages
 
 _CLASSES = 3
+_SCALE = priorities.scale_of_classes(_CLASSES)
 _STEP_S = 0.05
 _SERVE_S = 0.002
 # A refusal is parsed and answered, but neither sent on nor waited for.
@@ -39,7 +41,7 @@
     than the time-out of its caller is lost.
     """
     admission = processor.ProcessorAdmission()
-    admission.resize(_CLASSES)
+    admission.rescale(_SCALE)
     rng = random.Random(7)
     arrivals_per_step = int(load * _STEP_S / _SERVE_S)
     backlog_s = 0.0
@@ -97,12 +99,12 @@
 def test_a_frozen_node_serves_again_soon():
     """Guards against a long series of refusals after a single late timer."""
     admission = processor.ProcessorAdmission()
-    admission.resize(_CLASSES)
+    admission.rescale(_SCALE)
     admission.record_lag(30.0, 0.0)
     for number in range(1, 80):
         admission.record_call(0)
         admission.record_lag(0.0, number * _STEP_S)
-    assert admission.level == levels.open_level(_CLASSES)
+    assert admission.level == _SCALE.open_level
 
 
 class _Runtime:
--- a/tests/mesh/test_rejecting_targets.py
+++ b/tests/mesh/test_rejecting_targets.py
@@ -11,6 +11,7 @@
 from sassafras_node.targets import gate as gates
 from sassafras_policy.admission import levels
 from sassafras_policy.admission import policies
+from sassafras_policy.admission import priorities
 from sassafras_policy.balancing import balancers
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
@@ -21,8 +22,7 @@
 SERVICE_S = 0.03
 TARGET_RATE_PER_S = SLOTS / SERVICE_S
 SUB_CALLS = 4
-CLASSES = 3
-OPEN = levels.open_level(CLASSES)
+SCALE = priorities.scale_of_classes(3)
 ROUTE = "desk"
 SERVICE = "returns"
 # Time in which the level of a service may follow a change of its targets.
@@ -52,7 +52,7 @@
         self.budget = retry_budget.RetryBudget(0.2, 48, 10.0)
         self.gates = {
             f"node-{number}": gates.AdmissionGate(
-                policies.Adaptive(SLOTS, CLASSES), self.clock
+                policies.Adaptive(SLOTS, SCALE), self.clock
             )
             for number in range(targets)
         }
@@ -101,7 +101,7 @@
         self.tracker.finished(node_id)
         response = dataclasses.replace(response, load=gate.load)
         self.tracker.record_response(node_id, response)
-        self.levels.update(SERVICE, ROUTE, gate.level, self.clock.now())
+        self.levels.update(SERVICE, ROUTE, gate.level, SCALE, self.clock.now())
         return response
 
     async def request(self, ends, priority):
@@ -116,7 +116,7 @@
             at_most_once=False,
         )
         ends.offered += 1
-        level = self.levels.level(SERVICE, ROUTE, OPEN, self.clock.now())
+        level = self.levels.level(SERVICE, ROUTE, SCALE, self.clock.now())
         if levels.refuses(level, context):
             ends.shed += 1
             return
