End a node's part of the rates with the lease of its entry

Cause: the part of a node was meant to end with its proof of the configuration, before the lease of its entry. The proof also comes from peers, so a node that the store alone rejects kept it, lost its entry, and went on beside the node that took over. Event 858 shows it: desk-11 owns the pool with nodes=19 while desk-05 still does.

Ruled out: tokens that the first had granted (the excess lasts for about 5 s), a full second pool (it starts with 4 tokens).

Change: a node uses its part until the lease can have ended, counted from before it sent the last renewal, on the clock that counts suspend, and compared at each token. The others take over after the store has removed the entry, so never before. Linked peers renew the lease while the store rejects the node (RenewLease), also while its writes fail. Under a new lease the node introduces itself as after a start, and begins with few tokens.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -42,7 +42,8 @@
 
 
 def _metrics(runtime: runtimes.Runtime) -> messages.CallResponse:
-    age_s = runtime.freshness.age_s(runtime.clock.now_with_suspend())
+    now = runtime.clock.now_with_suspend()
+    age_s = runtime.freshness.age_s(now)
     gate = runtime.target.gate
     text = runtime.measurements.render(
         {
@@ -67,6 +68,10 @@
                 "Organisations for which this node owns the token pool.",
                 runtime.limiter.owned_pools,
             ),
+            "rates_held_s": (
+                "Time for which this node may use its part of the rates.",
+                max(0.0, runtime.rate_lease.until - now),
+            ),
             "in_flight": ("Requests being served.", runtime.drain.in_flight),
             "request_bytes": (
                 "Bytes of request bodies held.",
--- a/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/interfaces.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 from typing import Protocol
 
 from sassafras_policy.calls import messages
@@ -64,10 +65,12 @@
     Attributes:
       number: Id of the lease; 0 if it has ended.
       era: Era of the store.
+      length_s: Time that a new lease lasts, from the arrival of the call.
     """
 
     number: int
     era: int
+    length_s: float = math.inf
 
 
 class HistoryLostError(Exception):
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/joining.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/joining.py
@@ -1,5 +1,8 @@
 """Introduces this node to the others before it uses a share of any rate.
 
+It does so after its start, and again under each new lease of its entry: the
+others may have taken its share over when the one before had ended.
+
 A node divides rates by the nodes that it counts, so two nodes that do not count
 each other admit more than the rate together. A new node uses nothing until each
 node whose share shrinks by it has answered that it counts the new one. Where no
@@ -17,15 +20,19 @@
 from sassafras_base import events
 from sassafras_node.mesh import runtime as runtimes
 from sassafras_node.mesh.peers import link
+from sassafras_node.mesh.store import members
+from sassafras_node.mesh.store import outages
 from sassafras_policy.mesh import targets
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.peer import link as links
+from sassafras_wire.store import client as store_client
 
 # A node that can be reached answers within milliseconds, and callers of this
 # one wait while others are cut off or frozen. These are counted all the same.
 _ANSWER_TIMEOUT_S = 0.4
 # Delay until the first configuration names the rates that are divided.
 _CONFIGURATION_INTERVAL_S = 0.02
+_RETRY_S = 0.5
 
 
 class Presence(enum.Enum):
@@ -60,7 +67,7 @@
 async def run(
     runtime: runtimes.Runtime, introduction: Introduction | None = None
 ) -> None:
-    """Joins the fleet once, and waits until cancelled.
+    """Joins the fleet under each lease of this node's entry until cancelled.
 
     Args:
       runtime: The node.
@@ -70,13 +77,37 @@
     while runtime.routing is None:
         # Without rates there is nothing to divide, nor a request to admit.
         await trio.sleep(_CONFIGURATION_INTERVAL_S)
-    if not runtime.is_fleet_loaded:
-        await _join(runtime, introduction or _introduce_over_link)
-    await trio.sleep_forever()
+    outage_log = outages.OutageLog("joining")
+    while True:
+        begun = runtime.lease_begun
+        if not runtime.rate_lease.is_counted:
+            if runtime.is_fleet_loaded:
+                await _read_members(runtime, outage_log)
+            await _join(runtime, introduction or _introduce_over_link)
+        await begun.wait()
+
+
+async def _read_members(
+    runtime: runtimes.Runtime, outage_log: outages.OutageLog
+) -> None:
+    """Reads the entries after that of this node was written.
+
+    Of two nodes with new leases, the later one knows the earlier so.
+    """
+    while True:
+        try:
+            await members.read_all(runtime)
+        except store_client.StoreUnavailableError as error:
+            outage_log.record_failure(error)
+            await trio.sleep(_RETRY_S)
+        else:
+            outage_log.record_success()
+            return
 
 
 async def _join(runtime: runtimes.Runtime, introduction: Introduction) -> None:
     found: dict[str, Presence] = {}
+    number = runtime.rate_lease.number
 
     async def introduce(entry: targets.NodeEntry) -> None:
         presence = await introduction(runtime, entry)
@@ -88,8 +119,7 @@
         async with trio.open_nursery() as nursery:
             for entry in missing:
                 nursery.start_soon(introduce, entry)
-    runtime.is_fleet_loaded = True
-    runtime.configure_limiter()
+    runtime.confirm_lease(number)
     presences = list(found.values())
     fleet_joined(*(presences.count(presence) for presence in Presence))
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -1,5 +1,6 @@
 """Serves one control link that another node has opened."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 
@@ -19,6 +20,7 @@
 from sassafras_wire.peer import converters
 from sassafras_wire.peer import link as links
 from sassafras_wire.peer import models
+from sassafras_wire.store import client as store_client
 
 _UPGRADE_TIMEOUT_S = 2.0
 # Links for updates carry regular pings, and the other side closes idle links
@@ -37,6 +39,12 @@
     return f"link from {peer} lost: {error}"
 
 
+@events.declare(855, "INFO")
+def renewal_for_peer_failed(error: str) -> str:
+    """This node could not renew the lease of another one, and tells it so."""
+    return f"lease of another node is not renewed: {error}"
+
+
 @dataclasses.dataclass(slots=True)
 class _Subscriber:
     """What the other node has, by its pings and the updates since.
@@ -150,30 +158,32 @@
         and message.configuration_version < runtime.version
     ):
         async with runtime.connections.document_sends:
-            await link.send(_answer(runtime, link, message))
+            await link.send(await _answer(runtime, link, message))
     else:
-        await link.send(_answer(runtime, link, message))
+        await link.send(await _answer(runtime, link, message))
 
 
-Handler = Callable[[runtimes.Runtime, models.Message], models.Message]
+Handler = Callable[
+    [runtimes.Runtime, models.Message], Awaitable[models.Message]
+]
 
 message_handlers: registry.Registry[Handler] = registry.Registry(
     "mesh message handler"
 )
 
 
-def _answer(
+async def _answer(
     runtime: runtimes.Runtime, link: links.Link, message: models.Message
 ) -> models.Message:
     if message.type not in message_handlers:
         raise errors.ProtocolError(
             "peer.receive", link.address, f"unexpected {message.type!r}"
         )
-    return message_handlers.get(message.type)(runtime, message)
+    return await message_handlers.get(message.type)(runtime, message)
 
 
 @message_handlers.register("mesh_ping")
-def _answer_ping(
+async def _answer_ping(
     runtime: runtimes.Runtime, message: models.Message
 ) -> models.Message:
     assert isinstance(message, link_messages.Ping)
@@ -197,7 +207,7 @@
 
 
 @message_handlers.register("token_ask")
-def _answer_token_ask(
+async def _answer_token_ask(
     runtime: runtimes.Runtime, message: models.Message
 ) -> models.Message:
     assert isinstance(message, models.TokenRequestMessage)
@@ -207,6 +217,33 @@
     return converters.grant_to_message(message.number, grant)
 
 
+@message_handlers.register("mesh_renew")
+async def _renew_lease(
+    runtime: runtimes.Runtime, message: models.Message
+) -> models.Message:
+    """Renews the lease of a node that the store does not answer."""
+    assert isinstance(message, link_messages.RenewLease)
+    try:
+        if message.era != runtime.store_era.era:
+            # The lease may be that of another node by now.
+            raise store_client.StoreUnavailableError(
+                "lease.renew", "store", f"lease is of era {message.era}"
+            )
+        renewed = await runtime.platform.store.renew_lease(message.lease)
+        store_eras.note(runtime, renewed.era, None, "lease.renew")
+    except store_client.StoreUnavailableError as error:
+        renewal_for_peer_failed(str(error))
+        return link_messages.LeaseRenewal(
+            number=message.number, is_answered=False
+        )
+    return link_messages.LeaseRenewal(
+        number=message.number,
+        is_answered=True,
+        lease=renewed.number,
+        era=renewed.era,
+    )
+
+
 async def _send_updates(runtime: runtimes.Runtime, link: links.Link) -> None:
     while True:
         await runtime.entry_changed.wait()
@@ -281,7 +318,7 @@
         evacuations_era=runtime.evacuations.era,
         members_era=members.era,
         store_era=runtime.store_era.era,
-        uses_rates=runtime.is_fleet_loaded,
+        uses_rates=runtime.rate_lease.is_counted,
         configuration=(
             runtime.document if runtime.version > known_version else b""
         ),
--- a/packages/sassafras-node/src/sassafras_node/mesh/rate_division.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/rate_division.py
@@ -115,6 +115,10 @@
                 node_id, demand, self._clock.now_with_suspend()
             )
 
+    def restart(self) -> None:
+        """Empties this node's part, as others may have used it meanwhile."""
+        self._limiter.restart(self._clock.now_with_suspend())
+
     def forget(self, node_id: str) -> None:
         """Drops the demand of a node that is gone."""
         if isinstance(self._limiter, limiters.DemandRecorder):
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -32,6 +32,7 @@
 from sassafras_policy.mesh import evacuation
 from sassafras_policy.mesh import fleet as fleets
 from sassafras_policy.mesh import freshness
+from sassafras_policy.mesh import rate_lease
 from sassafras_policy.mesh import readers
 from sassafras_policy.mesh import retry_budget
 from sassafras_policy.mesh import routing
@@ -69,7 +70,7 @@
 _MAX_PINGS_PER_S = 20.0
 
 # Bounds the task that opens a link; requests wait for tokens for less.
-_LIMIT_CONNECT_TIMEOUT_S = 0.5
+_LINK_CONNECT_TIMEOUT_S = 0.5
 
 
 class Runtime:
@@ -107,6 +108,8 @@
       era_changed: Set and replaced when the store has come back from a copy.
       lease: Lease of this node's entry; 0 for none.
       lease_era: Era of the store in which the lease is known to be this node's.
+      rate_lease: Until when this node may use its part of the rates.
+      lease_begun: Set and replaced when the entry has a new lease.
       entry_position: Position of the store at which the entry was written last.
       stored_entry_number: Number of this node's entry in the store; 0 while the
         store has none.
@@ -208,6 +211,9 @@
         self.era_changed = trio.Event()
         self.lease = 0
         self.lease_era = 0
+        self.rate_lease = rate_lease.RateLease()
+        self.lease_begun = trio.Event()
+        self.limiter.hold(self.rate_lease.until)
         self.entry_position = eras.Position()
         self.stored_entry_number = 0
         self.entry_stored = trio.Event()
@@ -381,16 +387,27 @@
     async def open_limit_link(
         self, nursery: trio.Nursery, holder: str
     ) -> links.Link:
-        """Opens a link for token requests to a node.
+        """Opens a link for token requests to a node; see `open_link`."""
+        return await self.open_link(nursery, holder, "limits.ask")
+
+    async def open_link(
+        self, nursery: trio.Nursery, node_id: str, step: str
+    ) -> links.Link:
+        """Opens a link to a node.
+
+        Args:
+          nursery: Runs the link until it is closed.
+          node_id: The node.
+          step: What the link is for, for the error.
 
         Raises:
           UnreachableError: The node is gone or cannot be reached.
         """
-        entry = self.fleet.get(holder)
+        entry = self.fleet.get(node_id)
         if entry is None:
-            raise errors.UnreachableError("limits.ask", holder, "no entry")
+            raise errors.UnreachableError(step, node_id, "no entry")
         return await links.connect(
-            nursery, entry.link_address, _LIMIT_CONNECT_TIMEOUT_S
+            nursery, entry.link_address, _LINK_CONNECT_TIMEOUT_S
         )
 
     @property
@@ -513,6 +530,35 @@
         stored, self.entry_stored = self.entry_stored, trio.Event()
         stored.set()
 
+    def begin_lease(self, ends_at: float) -> None:
+        """Records that the entry was written under a new lease.
+
+        Args:
+          ends_at: When it ends if it is not renewed.
+        """
+        self.rate_lease.begin(ends_at)
+        begun, self.lease_begun = self.lease_begun, trio.Event()
+        begun.set()
+
+    def renew_lease(self, ends_at: float) -> None:
+        """Records that the lease of the entry was renewed."""
+        self.rate_lease.renew(ends_at)
+        self.limiter.hold(self.rate_lease.until)
+
+    def confirm_lease(self, number: int) -> None:
+        """Uses this node's part of the rates, as the others count it.
+
+        Args:
+          number: Number of the lease under which they were asked.
+        """
+        was_interrupted = self.rate_lease.until <= self.clock.now_with_suspend()
+        self.rate_lease.confirm(number)
+        self.is_fleet_loaded = True
+        self.configure_limiter()
+        if was_interrupted:
+            self.rates.restart()
+        self.limiter.hold(self.rate_lease.until)
+
     def publish_relay(self) -> None:
         """Wakes the tasks that pass on what this node has read."""
         changed, self.relay_changed = self.relay_changed, trio.Event()
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -60,7 +60,7 @@
             await runtime.entry_stored.wait()
     while True:
         try:
-            position = await _read_all(runtime)
+            position = await read_all(runtime)
             outage_log.record_success()
             await trio.sleep(_SETTLE_S)
             while True:
@@ -168,7 +168,12 @@
         runtime.own_entry_removed.set()
 
 
-async def _read_all(runtime: runtimes.Runtime) -> eras.Position:
+async def read_all(runtime: runtimes.Runtime) -> eras.Position:
+    """Reads the entries of all nodes; returns the position of the store.
+
+    Raises:
+      StoreUnavailableError: The store does not answer.
+    """
     listing = await runtime.platform.store.get_prefix(entries.PREFIX)
     store_eras.note_position(runtime, listing.position, "members")
     for item in listing.items:
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -5,7 +5,9 @@
 import trio
 
 from sassafras_base import events
+from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
+from sassafras_node.mesh.peers import lease_renewal
 from sassafras_node.mesh.store import entries
 from sassafras_node.mesh.store import eras as store_eras
 from sassafras_node.mesh.store import outages
@@ -16,6 +18,8 @@
 _RENEWALS_PER_LEASE = 3.0
 _RETRY_S = 0.5
 _CHANGE_DELAY_S = 0.05
+# A sleep does not end sooner for the time that the process was suspended.
+_SUSPEND_CHECK_S = 0.5
 
 
 @events.declare(844, "INFO")
@@ -78,18 +82,55 @@
 async def _maintain_lease(
     runtime: runtimes.Runtime, outage_log: outages.OutageLog
 ) -> None:
-    """Writes the entry at each change until it or its lease is gone.
-
-    After a write that fails, the next attempt starts with a new lease, and the
-    compare-and-swap orders the writes of the two.
+    """Keeps the entry under one lease until it or the lease is gone.
 
     A lease and a revision belong to one era of the store. After the store has
     come back from a copy, both stay in use only if the copy has the entry.
     """
-    ttl_s = runtime.lease_s
-    lease = await runtime.platform.store.grant_lease(ttl_s)
+    granted = await _grant_lease(runtime)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            _keep_renewed, runtime, granted, outage_log, nursery.cancel_scope
+        )
+        await _keep_written(runtime, granted, outage_log)
+        nursery.cancel_scope.cancel()
+
+
+@dataclasses.dataclass(slots=True)
+class _Granted:
+    """The lease of the entry.
+
+    Attributes:
+      length_s: How long it lasts after the arrival of a call.
+      ends_at: When it ends at the earliest; counted from before the last call
+        that was answered, on the clock that counts suspend.
+    """
+
+    length_s: float
+    ends_at: float
+
+    def extend(self, sent_at: float) -> None:
+        """Records that a renewal was answered that was sent at a time."""
+        self.ends_at = max(self.ends_at, sent_at + self.length_s)
+
+
+async def _grant_lease(runtime: runtimes.Runtime) -> _Granted:
+    sent_at = runtime.clock.now_with_suspend()
+    lease = await runtime.platform.store.grant_lease(runtime.lease_s)
     store_eras.note(runtime, lease.era, None, "entry")
     runtime.lease, runtime.lease_era = lease.number, lease.era
+    length_s = min(runtime.lease_s, lease.length_s)
+    return _Granted(length_s, sent_at + length_s)
+
+
+async def _keep_written(
+    runtime: runtimes.Runtime, granted: _Granted, outage_log: outages.OutageLog
+) -> None:
+    """Writes the entry at each change until it or its lease is gone.
+
+    A write without an answer is sent again; the compare-and-swap orders the
+    two.
+    """
     written: _Written | None = None
     revision = 0
     is_checked = runtime.store_era.era == 0
@@ -114,22 +155,24 @@
                 if written is None
                 else ()
             )
-            revision = await _write(runtime, value, revision, kept)
-            if revision == 0:
+            try:
+                position = await _write(runtime, value, revision, kept)
+            except store_client.StoreUnavailableError as error:
+                outage_log.record_failure(error)
+                await trio.sleep(_RETRY_S)
+                continue
+            if position is None:
                 return
+            revision = position.revision
+            if written is None:
+                runtime.begin_lease(granted.ends_at)
             written = _Written(entry.number, value)
-            runtime.record_stored_entry(
-                entry.number, eras.Position(runtime.lease_era, revision)
-            )
+            runtime.record_stored_entry(entry.number, position)
             outage_log.record_success()
             entry_written(revision, _state(runtime))
-        await _wait(runtime, changed, ttl_s / _RENEWALS_PER_LEASE)
+        await _wait(runtime, changed, granted.length_s / _RENEWALS_PER_LEASE)
         if runtime.own_entry_removed.is_set():
             return
-        if changed.is_set() or runtime.lease_era != runtime.store_era.era:
-            continue
-        if not await _renew(runtime, outage_log):
-            return
 
 
 def _is_check_due(runtime: runtimes.Runtime, is_checked: bool) -> bool:
@@ -168,25 +211,56 @@
         return None
 
 
-async def _renew(
-    runtime: runtimes.Runtime, outage_log: outages.OutageLog
-) -> bool:
-    """Renews the lease, also after an outage; returns False if it has ended.
+async def _keep_renewed(
+    runtime: runtimes.Runtime,
+    granted: _Granted,
+    outage_log: outages.OutageLog,
+    scope: trio.CancelScope,
+) -> None:
+    """Renews the lease, also after an outage; cancels a scope at its end.
 
-    A renewal costs the store less than a new lease and a write.
+    A renewal costs the store less than a new lease and a write. It does not
+    wait for writes: while the store rejects this node, other nodes renew.
     """
+    interval_s = granted.length_s / _RENEWALS_PER_LEASE
+    peers = lease_renewal.PeerRenewals(runtime)
     while True:
-        try:
-            lease = await runtime.platform.store.renew_lease(runtime.lease)
-            store_eras.note(runtime, lease.era, None, "entry")
-        except store_client.StoreUnavailableError as error:
-            runtime.reaches_store = False
-            outage_log.record_failure(error)
+        due_at = granted.ends_at - granted.length_s + interval_s
+        while (left_s := due_at - runtime.clock.now_with_suspend()) > 0:
+            await trio.sleep(min(left_s, _SUSPEND_CHECK_S))
+        era = runtime.lease_era
+        sent_at = runtime.clock.now_with_suspend()
+        lease: interfaces.Lease | None = None
+        if era == runtime.store_era.era:
+            lease = await _renew_directly(runtime, outage_log)
+            if lease is None:
+                lease = await peers.renew()
+            else:
+                peers.end()
+        if lease is None or lease.era != era:
             await trio.sleep(_RETRY_S)
-            continue
-        runtime.reaches_store = True
-        outage_log.record_success()
-        return lease.number == runtime.lease
+        elif lease.number == runtime.lease:
+            granted.extend(sent_at)
+            runtime.renew_lease(granted.ends_at)
+        else:
+            scope.cancel()
+            return
+
+
+async def _renew_directly(
+    runtime: runtimes.Runtime, outage_log: outages.OutageLog
+) -> interfaces.Lease | None:
+    """Returns the answer of the store; None if it does not answer."""
+    try:
+        lease = await runtime.platform.store.renew_lease(runtime.lease)
+        store_eras.note(runtime, lease.era, None, "entry")
+    except store_client.StoreUnavailableError as error:
+        runtime.reaches_store = False
+        outage_log.record_failure(error)
+        return None
+    runtime.reaches_store = True
+    outage_log.record_success()
+    return lease
 
 
 async def _wait(
@@ -214,8 +288,8 @@
     value: bytes,
     revision: int,
     kept: tuple[tuple[str, bytes], ...],
-) -> int:
-    """Overwrites the entry; returns 0 if the lease has ended.
+) -> eras.Position | None:
+    """Overwrites the entry; returns where, or None if the lease has ended.
 
     The first write under a lease has the node's record with it. Wherever the
     store has the entry, in a copy as well, it has the record.
@@ -231,15 +305,15 @@
             key, value, revision, runtime.lease, kept
         )
         store_eras.note(runtime, written.era, None, "entry")
-        if written.era != runtime.lease_era:
-            return 0
-        if written.revision >= 0:
-            return written.revision
+        if written.era != runtime.lease_era or written.revision == 0:
+            return None
+        if written.revision > 0:
+            return eras.Position(written.era, written.revision)
         # Written by an earlier process, or by a write whose response was lost.
         listing = await store.get(key)
         store_eras.note_position(runtime, listing.position, "entry")
         if listing.position.era != runtime.lease_era:
-            return 0
+            return None
         revision = listing.items[0].revision if listing.items else 0
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -83,6 +83,17 @@
         """Applies rates, bursts and the roster."""
         ...
 
+    def hold(self, until: float) -> None:
+        """Uses this node's shares and pools until a time, and no longer."""
+        ...
+
+    def restart(self, now: float) -> None:
+        """Leaves this node as few tokens as one that has just started.
+
+        Others may have used its shares and pools meanwhile.
+        """
+        ...
+
     def counterparts(
         self,
         context: LimiterContext,
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -119,15 +119,22 @@
                 capacity = max(1.0, organisation.burst * pool_fraction)
                 pool = self._pools.get(name) if is_same_owner else None
                 if pool is None:
-                    level = context.tolerance.requests * _INITIAL_FRACTION
+                    level = min(_initial_level(context), capacity)
                     pool = static_share.TokenBucket(
-                        rate_per_s, capacity, now, min(level, capacity)
+                        rate_per_s, capacity, now, level
                     )
                 pool.resize(rate_per_s, capacity, now)
                 pools[name] = pool
         self._clients = clients
         self._pools = pools
 
+    def restart(self, now: float) -> None:
+        """See Limiter."""
+        super().restart(now)
+        assert self._context is not None
+        for pool in self._pools.values():
+            pool.limit_level(_initial_level(self._context), now)
+
     def counterparts(
         self,
         context: limiters.LimiterContext,
@@ -198,7 +205,7 @@
         if super().take(organisation, now):
             return True
         pool = self._pools.get(organisation)
-        if pool is not None and pool.take(now):
+        if pool is not None and now < self._held_until and pool.take(now):
             return True
         client = self._clients.get(organisation)
         return client is not None and client.take(now)
@@ -212,6 +219,8 @@
             return _UNKNOWN_ORGANISATION_WAIT_S
         pool = self._pools.get(organisation)
         wait_s = super().available_in_s(organisation, waiting, now)
+        if pool is not None and now >= self._held_until:
+            return wait_s
         if pool is not None:
             return min(wait_s, pool.available_in_s(waiting + 1, now))
         return min(wait_s, max(client.next_request_at - now, 0.0) + _BATCH_S)
@@ -257,8 +266,9 @@
         """See Limiter."""
         del waiting
         pool = self._pools.get(organisation)
-        if pool is None:
-            # While a node starts, others may take it for the owner already.
+        if pool is None or now >= self._held_until:
+            # While a node starts, or has lost its lease, others may take it for
+            # the owner.
             return transfers.Grant(0.0, 0.0, _BATCH_S)
         granted = 0
         while granted < wanted and pool.take(now):
@@ -295,3 +305,7 @@
         if client is not None and client.pending_number == request.number:
             client.pending_number = 0
             client.next_request_at = now + _FAILURE_BACKOFF_S
+
+
+def _initial_level(context: limiters.LimiterContext) -> float:
+    return context.tolerance.requests * _INITIAL_FRACTION
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -1,5 +1,7 @@
 """A limiter with an equal, fixed share for each host; the baseline."""
 
+import math
+
 from sassafras_policy.configuration import document as documents
 from sassafras_policy.limits import limiters
 from sassafras_policy.limits import transfers
@@ -41,6 +43,11 @@
         self._capacity = capacity
         self._level = min(self._level, capacity)
 
+    def limit_level(self, level: float, now: float) -> None:
+        """Removes the tokens above a level."""
+        self._refill(now)
+        self._level = min(self._level, level)
+
     def take(self, now: float) -> bool:
         """Takes one token; returns False when there is none."""
         self._refill(now)
@@ -74,6 +81,7 @@
 
     def __init__(self) -> None:
         self._buckets: dict[str, TokenBucket] = {}
+        self._held_until = math.inf
 
     @property
     def holders(self) -> tuple[str, ...]:
@@ -97,6 +105,15 @@
             for organisation in context.organisations
         }
 
+    def hold(self, until: float) -> None:
+        """See Limiter."""
+        self._held_until = until
+
+    def restart(self, now: float) -> None:
+        """See Limiter."""
+        for bucket in self._buckets.values():
+            bucket.limit_level(0.0, now)
+
     def counterparts(
         self,
         context: limiters.LimiterContext,
@@ -119,6 +136,8 @@
 
     def take(self, organisation: str, now: float) -> bool:
         """See Limiter."""
+        if now >= self._held_until:
+            return False
         bucket = self._buckets.get(organisation)
         return bucket is not None and bucket.take(now)
 
@@ -127,7 +146,7 @@
     ) -> float:
         """See Limiter."""
         bucket = self._buckets.get(organisation)
-        if bucket is None:
+        if bucket is None or now >= self._held_until:
             return _UNKNOWN_ORGANISATION_WAIT_S
         return bucket.available_in_s(waiting + 1, now)
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/token_escrow.py
@@ -142,6 +142,14 @@
         self._states = states
         self._holders = tuple(sorted(holders))
 
+    def hold(self, until: float) -> None:
+        """See Limiter; the epochs of the roster end a share."""
+        del until
+
+    def restart(self, now: float) -> None:
+        """See Limiter; the epochs of the roster begin a share."""
+        del now
+
     def counterparts(
         self,
         context: limiters.LimiterContext,
--- a/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
+++ b/packages/sassafras-wire/src/sassafras_wire/mesh/link_messages.py
@@ -118,7 +118,7 @@
       members_era: Era of the store of the two revisions.
       store_era: The newest era of the store that the node knows of.
       uses_rates: Whether the node uses its shares of rates; it does not until
-        it has joined the fleet.
+        the others count it, after its start and under each new lease.
     """
 
     type: Literal["mesh_news"] = "mesh_news"
@@ -142,6 +142,40 @@
     uses_rates: bool = True
 
 
+@models.message_types.register("mesh_renew")
+class RenewLease(models.Message):
+    """Asks a node to renew the sender's lease; `LeaseRenewal` responds.
+
+    Attributes:
+      number: Number of the request.
+      lease: The lease.
+      era: Era of the store in which it is the sender's.
+    """
+
+    type: Literal["mesh_renew"] = "mesh_renew"
+    number: int = pydantic.Field(gt=0)
+    lease: _Number
+    era: _Number = 0
+
+
+@models.message_types.register("mesh_renewed")
+class LeaseRenewal(models.Message):
+    """What the store has answered to a `RenewLease`.
+
+    Attributes:
+      number: Number of the request.
+      is_answered: Whether the store has answered.
+      lease: The lease; 0 if it has ended.
+      era: Era of the store.
+    """
+
+    type: Literal["mesh_renewed"] = "mesh_renewed"
+    number: int
+    is_answered: bool
+    lease: _Number = 0
+    era: _Number = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersUpdate:
     """Entries that a reader sends to a node of its zone.
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -28,6 +28,7 @@
 from sassafras_platform import boot
 from sassafras_platform import front_end
 from sassafras_platform import store as platform_store
+from sassafras_policy.mesh import linking
 from sassafras_policy.mesh import targets
 from sassafras_standins.platform import documents
 from sassafras_standins.platform import machines
@@ -105,7 +106,10 @@
         self._response = None
         if self._fleet.is_linked(self._name, self._other):
             handler = link_session.message_handlers.get(message.type)
-            self._response = handler(self._fleet.nodes[self._other], message)
+            if message.type == "mesh_renew" and self._fleet.refuses_renewals:
+                return
+            node = self._fleet.nodes[self._other]
+            self._response = await handler(node, message)
 
     async def abort(self):
         pass
@@ -126,18 +130,23 @@
       nodes: Runtimes of the running nodes, by name.
       cut: Nodes that do not reach the store.
       cut_links: Nodes that do not reach the other nodes.
+      links_all: Whether each node pings all others, and not those only to which
+        it would have a link.
       is_away: Whether the store answers nobody.
+      refuses_renewals: Whether no node renews the lease of another one.
       writes: Number of moments before and after writes of any writer.
       on_write: Called at each of these moments with their number.
       documents: Acknowledged configurations by version, with their time.
     """
 
-    def __init__(self, nursery, folder, era):
+    def __init__(self, nursery, folder, era, links_all):
         self.store = store_standin.MetadataStore(era)
         self.nodes = {}
         self.cut = set()
         self.cut_links = set()
         self.is_away = False
+        self.refuses_renewals = False
+        self.links_all = links_all
         self.writes = 0
         self.on_write = lambda number: None
         self.documents = {}
@@ -201,7 +210,7 @@
             Clock(),
             random.Random(1),
         )
-        node.open_limit_link = functools.partial(self._open_limit_link, name)
+        node.open_link = functools.partial(self._open_link, name)
         self.nodes[name] = node
         self._scopes[name] = trio.CancelScope()
         self._nursery.start_soon(self._run, name, node)
@@ -266,10 +275,10 @@
             return joining.Presence.SILENT
         return joining.presence_of(entry, answer)
 
-    async def _open_limit_link(self, name, nursery, holder):
+    async def _open_link(self, name, nursery, holder, step):
         del nursery
         if not self.is_linked(name, holder):
-            raise errors.UnreachableError("limits.ask", holder, "cut")
+            raise errors.UnreachableError(step, holder, "cut")
         return _Link(self, name, holder)
 
     async def _exchange(self, node, holder):
@@ -299,11 +308,22 @@
             with trio.move_on_after(_ROSTER_S):
                 await changed.wait()
 
+    def _linked(self, node):
+        if self.links_all:
+            return [entry.node_id for entry in node.fleet.entries]
+        return sorted(
+            linking.choose(
+                node.entry,
+                node.fleet.entries,
+                node.unusable_readers,
+                needs_all=node.rates.divides_by_demand,
+            )
+        )
+
     async def _ping_others(self, name, node):
         links = {}
         while True:
-            for other in list(node.fleet.entries):
-                other_name = other.node_id
+            for other_name in self._linked(node):
                 opened = links.setdefault(
                     other_name, _Link(self, name, other_name)
                 )
@@ -315,11 +335,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(era=1):
+async def running(era=1, links_all=True):
     """Runs a fleet without nodes; its store has a configuration."""
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery, pathlib.Path(folder), era)
+            fleet = Fleet(nursery, pathlib.Path(folder), era, links_all)
             nursery.start_soon(fleet.store._expire_forever)
             fleet.configure(1)
             yield fleet
