End each token request with the exchange that has it

Cause: the limiter makes no request for tokens of an organisation while one is in flight. When an exchange failed, the requests that waited in its mailbox were dropped and counted as in flight forever. So did one whose answer had another number.

Ruled out: an empty or lost pool, and a link that stays closed; both would refuse all organisations of the holder, and others were served.

Change: a mailbox keeps the requests that have not ended, and closing it fails them, whatever ended its task. An answer with another number closes the link. The harness tests/limits/fleet.py opens mailboxes in a with block; its checks are the same.

--- a/packages/sassafras-node/src/sassafras_node/limits/exchange.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/exchange.py
@@ -5,6 +5,7 @@
 import trio
 
 from sassafras_base import clock as clocks
+from sassafras_base import errors
 from sassafras_node.limits import gate as gates
 from sassafras_policy.limits import transfers
 from sassafras_wire.peer import converters
@@ -44,39 +45,27 @@
 
 
 async def run(runtime: ExchangeRuntime, holder: str) -> None:
-    """Sends this node's token requests to a holder, one at a time."""
-    mailbox = runtime.limit_gate.open_mailbox(holder)
-    try:
+    """Sends this node's token requests to a holder, one at a time.
+
+    An error or a cancellation fails the requests that are left.
+    """
+    with runtime.limit_gate.open_mailbox(holder) as mailbox:
         while True:
             request = await mailbox.receive()
             async with trio.open_nursery() as nursery:
-                link = await _connect(runtime, nursery, request)
+                link = await runtime.open_limit_link(nursery, holder)
                 try:
                     await _exchange_until_idle(runtime, link, mailbox, request)
                 finally:
                     with trio.CancelScope(shield=True):
                         await link.abort()
                     nursery.cancel_scope.cancel()
-    finally:
-        runtime.limit_gate.close_mailbox(holder)
-
-
-async def _connect(
-    runtime: ExchangeRuntime,
-    nursery: trio.Nursery,
-    request: transfers.TokenRequest,
-) -> links.Link:
-    try:
-        return await runtime.open_limit_link(nursery, request.holder)
-    except BaseException:
-        runtime.limit_gate.request_failed(request)
-        raise
 
 
 async def _exchange_until_idle(
     runtime: ExchangeRuntime,
     link: links.Link,
-    mailbox: trio.MemoryReceiveChannel[transfers.TokenRequest],
+    mailbox: gates.Mailbox,
     request: transfers.TokenRequest | None,
 ) -> None:
     while request is not None:
@@ -95,14 +84,15 @@
     if sent_at - request.planned_at > _STALE_AFTER_S:
         runtime.limit_gate.request_failed(request)
         return
-    try:
-        with trio.fail_after(_GRANT_TIMEOUT_S):
-            await link.send(converters.token_request_to_message(request))
-            reply = await link.expect(models.TokenGrant)
-    except BaseException:
-        runtime.limit_gate.request_failed(request)
-        raise
-    if reply.number == request.number:
-        runtime.limit_gate.receive(
-            request, converters.message_to_grant(reply), sent_at
+    with trio.fail_after(_GRANT_TIMEOUT_S):
+        await link.send(converters.token_request_to_message(request))
+        reply = await link.expect(models.TokenGrant)
+    if reply.number != request.number:
+        raise errors.ProtocolError(
+            "limits.ask",
+            request.holder,
+            f"grant {reply.number} for request {request.number}",
         )
+    runtime.limit_gate.receive(
+        request, converters.message_to_grant(reply), sent_at
+    )
--- a/packages/sassafras-node/src/sassafras_node/limits/gate.py
+++ b/packages/sassafras-node/src/sassafras_node/limits/gate.py
@@ -1,5 +1,7 @@
 """Admission of root requests by the rate limit of their organisation."""
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 import trio
@@ -33,6 +35,44 @@
     received: trio.Event = dataclasses.field(default_factory=trio.Event)
 
 
+class Mailbox:
+    """Token requests to one holder that have neither a grant nor failed.
+
+    The limiter makes no further request of an organisation while one is in
+    flight, so each must end. Those that are left when the mailbox is closed
+    have failed, whatever closed it.
+    """
+
+    def __init__(self) -> None:
+        self._outstanding: dict[int, transfers.TokenRequest] = {}
+        self._send, self._receive = trio.open_memory_channel[
+            transfers.TokenRequest
+        ](_MAILBOX_SIZE)
+
+    def put(self, request: transfers.TokenRequest) -> None:
+        """Adds a request.
+
+        Raises:
+          trio.WouldBlock: Too many requests wait to be sent.
+        """
+        self._send.send_nowait(request)
+        self._outstanding[request.number] = request
+
+    async def receive(self) -> transfers.TokenRequest:
+        """Returns the next request; it stays outstanding until it ends."""
+        return await self._receive.receive()
+
+    def end(self, request: transfers.TokenRequest) -> None:
+        """Records the grant or the failure of a request."""
+        self._outstanding.pop(request.number, None)
+
+    def take_outstanding(self) -> list[transfers.TokenRequest]:
+        """Ends and returns all requests that are left."""
+        left = list(self._outstanding.values())
+        self._outstanding.clear()
+        return left
+
+
 class LimitGate:
     """Takes a token for each root request and requests more from holders.
 
@@ -47,9 +87,7 @@
         self.limiter = limiter
         self._clock = clock
         self._queues: dict[str, _Queue] = {}
-        self._mailboxes: dict[
-            str, trio.MemorySendChannel[transfers.TokenRequest]
-        ] = {}
+        self._mailboxes: dict[str, Mailbox] = {}
 
     async def admit(self, organisation: str) -> float | None:
         """Takes a token, waiting a short time for one if necessary.
@@ -104,6 +142,7 @@
           sent_at: When the request was sent, on the clock that counts suspend.
         """
         now = self._clock.now_with_suspend()
+        self._end(request)
         self.limiter.receive(request, grant, sent_at, now)
         queue = self._queues.setdefault(request.organisation, _Queue())
         self._plan(request.organisation, queue, now)
@@ -113,23 +152,31 @@
     def request_failed(self, request: transfers.TokenRequest) -> None:
         """Records a failed token request and plans new ones."""
         now = self._clock.now_with_suspend()
+        self._end(request)
         self.limiter.request_failed(request, now)
         queue = self._queues.setdefault(request.organisation, _Queue())
         self._plan(request.organisation, queue, now)
 
-    def open_mailbox(
-        self, holder: str
-    ) -> trio.MemoryReceiveChannel[transfers.TokenRequest]:
-        """Returns the token requests for the exchange task of a holder."""
-        send, receive = trio.open_memory_channel[transfers.TokenRequest](
-            _MAILBOX_SIZE
-        )
-        self._mailboxes[holder] = send
-        return receive
+    @contextlib.contextmanager
+    def open_mailbox(self, holder: str) -> Iterator[Mailbox]:
+        """Opens the mailbox of the exchange task of a holder.
+
+        When it is closed, the requests in it have failed, and later ones to the
+        holder fail at once.
+        """
+        mailbox = self._mailboxes[holder] = Mailbox()
+        try:
+            yield mailbox
+        finally:
+            if self._mailboxes.get(holder) is mailbox:
+                del self._mailboxes[holder]
+            for request in mailbox.take_outstanding():
+                self.request_failed(request)
 
-    def close_mailbox(self, holder: str) -> None:
-        """Makes later token requests to a holder fail at once."""
-        self._mailboxes.pop(holder, None)
+    def _end(self, request: transfers.TokenRequest) -> None:
+        mailbox = self._mailboxes.get(request.holder)
+        if mailbox is not None:
+            mailbox.end(request)
 
     async def _wait_for_token(self, organisation: str, queue: _Queue) -> None:
         while True:
@@ -148,6 +195,6 @@
             try:
                 if mailbox is None:
                     raise trio.WouldBlock
-                mailbox.send_nowait(request)
+                mailbox.put(request)
             except trio.WouldBlock:
                 self.limiter.request_failed(request, now)
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -77,25 +77,25 @@
             self._configure(host)
 
     async def _exchange(self, host, holder):
-        mailbox = host.gate.open_mailbox(holder.node_id)
-        while True:
-            token_request = await mailbox.receive()
-            sent_at = host.clock.now_with_suspend()
-            self.sent_token_requests.append(sent_at)
-            pair = (host.node_id, holder.node_id)
-            count = self._in_flight[pair] = self._in_flight.get(pair, 0) + 1
-            self.max_in_flight = max(self.max_in_flight, count)
-            await trio.sleep(_ONE_WAY_S)
-            if holder.silent:
-                await trio.sleep(1.0)
-                host.gate.request_failed(token_request)
-                continue
-            grant = holder.gate.grant_tokens(
-                token_request.organisation, token_request.wanted
-            )
-            await trio.sleep(_ONE_WAY_S)
-            self._in_flight[pair] -= 1
-            host.gate.receive(token_request, grant, sent_at)
+        with host.gate.open_mailbox(holder.node_id) as mailbox:
+            while True:
+                token_request = await mailbox.receive()
+                sent_at = host.clock.now_with_suspend()
+                self.sent_token_requests.append(sent_at)
+                pair = (host.node_id, holder.node_id)
+                count = self._in_flight[pair] = self._in_flight.get(pair, 0) + 1
+                self.max_in_flight = max(self.max_in_flight, count)
+                await trio.sleep(_ONE_WAY_S)
+                if holder.silent:
+                    await trio.sleep(1.0)
+                    host.gate.request_failed(token_request)
+                    continue
+                grant = holder.gate.grant_tokens(
+                    token_request.organisation, token_request.wanted
+                )
+                await trio.sleep(_ONE_WAY_S)
+                self._in_flight[pair] -= 1
+                host.gate.receive(token_request, grant, sent_at)
 
     async def offer(self, arrivals):
         """Sends requests at (time, host number) and records their results."""
