End calls in flight at the target at which they started

Cause: calls in flight are counted by node. A node that was dropped while a call to it was in flight, and came back, started at 0, and the end of the call made that -1 for good. The node seemed to run fewer calls than it did and was chosen more often.

Change: the start of a call returns what its end counts.

Measured: test_calls_to_a_dropped_node_do_not_count_when_it_is_back failed before (-1), passes now.

--- a/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/calls/dispatch.py
@@ -222,7 +222,7 @@
         headers=list(fields.for_target(request.headers)),
         body=request.body,
     )
-    runtime.target_tracker.started(record.node_id)
+    tracked = runtime.target_tracker.started(record.node_id)
     try:
         reply = await runtime.peer_pools.call(record.node_id, message, call)
         response = converters.message_to_response(reply)
@@ -245,6 +245,6 @@
             outcomes.Reason.CONNECTION_LOST, 502, str(error), retryable=True
         )
     finally:
-        runtime.target_tracker.finished(record.node_id)
+        runtime.target_tracker.finished(tracked)
     runtime.target_tracker.record_response(record.node_id, response)
     return response
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/dispatch.py
@@ -319,7 +319,7 @@
         if runtime.balancer.uses_reports
         else 0.0,
     )
-    tracker.started(entry.node_id)
+    tracked = tracker.started(entry.node_id)
     try:
         reply = await runtime.call_pools.exchange(
             entry.call_address,
@@ -336,7 +336,7 @@
             tracker.record_failure(entry.node_id)
         return _failure(error)
     finally:
-        tracker.finished(entry.node_id)
+        tracker.finished(tracked)
     tracker.record_response(entry.node_id, response, call.service, call.route)
     return response
 
--- a/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
+++ b/packages/sassafras-node/src/sassafras_node/peers/target_tracking.py
@@ -61,14 +61,18 @@
         self._targets: dict[str, TrackedTarget] = {}
         self._services: dict[str, estimates.ServiceEstimate] = {}
 
-    def started(self, node_id: str) -> None:
-        """Counts a call to a peer."""
+    def started(self, node_id: str) -> TrackedTarget:
+        """Counts a call to a peer; returns what to pass to `finished`."""
         tracked = self._targets.get(node_id) or self._tracked(node_id)
         tracked.in_flight += 1
+        return tracked
 
-    def finished(self, node_id: str) -> None:
-        """Counts a call to a peer as ended."""
-        tracked = self._targets.get(node_id) or self._tracked(node_id)
+    def finished(self, tracked: TrackedTarget) -> None:
+        """Counts a call to a peer as ended.
+
+        The peer may have been dropped, and have come back, since the call
+        started; those calls don't count any more.
+        """
         tracked.in_flight -= 1
 
     def record_response(
--- a/tests/mesh/test_rejecting_targets.py
+++ b/tests/mesh/test_rejecting_targets.py
@@ -87,7 +87,7 @@
     async def send(self, node_id, context):
         gate = self.gates[node_id]
         response = messages.refusal(outcomes.Reason.OVERLOAD, 503, "full")
-        self.tracker.started(node_id)
+        tracked = self.tracker.started(node_id)
         if await gate.enter(context) is gates.AdmissionResult.ADMITTED:
             if self.rng.random() < self.rejecting.get(node_id, 0.0):
                 gate.leave_with_error()
@@ -98,7 +98,7 @@
                 await trio.sleep(SERVICE_S)
                 gate.leave(SERVICE_S, True)
                 response = messages.CallResponse(outcome=outcomes.Outcome.RAN)
-        self.tracker.finished(node_id)
+        self.tracker.finished(tracked)
         response = dataclasses.replace(response, load=gate.load)
         self.tracker.record_response(node_id, response)
         self.levels.update(SERVICE, ROUTE, gate.level, SCALE, self.clock.now())
--- a/tests/mesh/test_target_choice.py
+++ b/tests/mesh/test_target_choice.py
@@ -6,9 +6,11 @@
 import pytest
 
 from common import mesh_fleet
+from sassafras_base import errors
 from sassafras_node.mesh.calls import dispatch
 from sassafras_policy.calls import messages
 from sassafras_policy.calls import outcomes
+from sassafras_policy.calls import progress as progresses
 from sassafras_policy.mesh import calls
 from sassafras_policy.mesh import targets
 
@@ -170,3 +172,30 @@
             )
         assert not is_sent_again(first)
         assert is_sent_again(later)
+
+
+@pytest.mark.loopback
+async def test_calls_to_a_dropped_node_do_not_count_when_it_is_back(
+    tmp_path, monkeypatch
+):
+    """Guards against a node that seems to run fewer calls than none.
+
+    It was dropped while calls to it were in flight, and their ends were counted
+    for the node that came back; it got more than its part of the calls.
+    """
+    async with mesh_fleet.running(tmp_path) as fleet:
+        await fleet.add_machine("one")
+        runtime = fleet.nodes["one"]
+        entry = _entry(1, "zone-a")
+        runtime.fleet.update(entry)
+
+        async def lose(*_):
+            runtime.fleet.drop(entry.node_id)
+            runtime.forget_node(entry.node_id)
+            runtime.fleet.update(entry)
+            raise errors.ConnectionLostError("call", entry.node_id, "lost")
+
+        monkeypatch.setattr(runtime.call_pools, "exchange", lose)
+        for _ in range(3):
+            await dispatch._send(runtime, _CALL, entry, progresses.Progress())
+        assert runtime.target_tracker.in_flight(entry.node_id) == 0
