Tie a part of rates to the lease under which the entry is written

A renewal of a lease that was granted but under which the entry was not written yet extended the part of the lease before, though others may have taken it over; and a join that was under way as a lease ended counted for the next one. A lapse that is seen right after the store came back from an older copy was taken for one after the whole lease, though the copy may have shortened it.

Change: the end of a lease is recorded; renewals and answers count only for a lease under which the entry is written, and a join is repeated, with a new list of entries, if its lease has ended. Lapses in the first seconds of an era are held for the length of a lease, like entries that the copy lacks.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/joining.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/joining.py
@@ -78,12 +78,14 @@
         # Without rates there is nothing to divide, nor a request to admit.
         await trio.sleep(_CONFIGURATION_INTERVAL_S)
     outage_log = outages.OutageLog("joining")
+    is_read = True
     while True:
         begun = runtime.lease_begun
         if not runtime.rate_lease.is_counted:
-            if runtime.is_fleet_loaded:
+            if not is_read:
                 await _read_members(runtime, outage_log)
             await _join(runtime, introduction or _introduce_over_link)
+        is_read = False
         await begun.wait()
 
 
@@ -119,9 +121,9 @@
         async with trio.open_nursery() as nursery:
             for entry in missing:
                 nursery.start_soon(introduce, entry)
-    runtime.confirm_lease(number)
-    presences = list(found.values())
-    fleet_joined(*(presences.count(presence) for presence in Presence))
+    if runtime.confirm_lease(number):
+        presences = list(found.values())
+        fleet_joined(*(presences.count(presence) for presence in Presence))
 
 
 def _missing(
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -545,19 +545,24 @@
         self.rate_lease.renew(ends_at)
         self.limiter.hold(self.rate_lease.until)
 
-    def confirm_lease(self, number: int) -> None:
+    def confirm_lease(self, number: int) -> bool:
         """Uses this node's part of the rates, as the others count it.
 
         Args:
           number: Number of the lease under which they were asked.
+
+        Returns:
+          False if that lease has ended since; they have to be asked again.
         """
         was_interrupted = self.rate_lease.until <= self.clock.now_with_suspend()
-        self.rate_lease.confirm(number)
+        if not self.rate_lease.confirm(number):
+            return False
         self.is_fleet_loaded = True
         self.configure_limiter()
         if was_interrupted:
             self.rates.restart()
         self.limiter.hold(self.rate_lease.until)
+        return True
 
     def publish_relay(self) -> None:
         """Wakes the tasks that pass on what this node has read."""
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -149,7 +149,12 @@
         and position >= runtime.entry_position
     ):
         runtime.own_entry_removed.set()
-    runtime.fleet.lapse(node_id, runtime.clock.now_with_suspend())
+    # A copy may have shortened the lease, unknown to a node that is cut off.
+    runtime.fleet.lapse(
+        node_id,
+        runtime.clock.now_with_suspend(),
+        is_copy=runtime.may_read_removed,
+    )
 
 
 def _keep_only(
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -55,6 +55,7 @@
             if not runtime.target.restored.is_set():
                 await _restore_target(runtime)
             await _maintain_lease(runtime, outage_log)
+            runtime.rate_lease.end()
             runtime.stored_entry_number = 0
             entry_lapsed()
         except store_client.StoreUnavailableError as error:
--- a/packages/sassafras-policy/src/sassafras_policy/mesh/rate_lease.py
+++ b/packages/sassafras-policy/src/sassafras_policy/mesh/rate_lease.py
@@ -27,6 +27,7 @@
     until: float = -math.inf
     is_counted: bool = False
     _number: int = 0
+    _is_running: bool = False
     _ends_at: float = -math.inf
 
     @property
@@ -41,22 +42,38 @@
           ends_at: When the lease ends if it is not renewed.
         """
         self._number += 1
+        self._is_running = True
         self._ends_at = ends_at
         self.is_counted = False
 
+    def end(self) -> None:
+        """Records that the present lease has ended, or lost the entry.
+
+        A renewal of the next lease says nothing before the entry is written
+        under it.
+        """
+        self._is_running = False
+        self.is_counted = False
+
     def renew(self, ends_at: float) -> None:
         """Records that the store has renewed the present lease."""
+        if not self._is_running:
+            return
         self._ends_at = max(self._ends_at, ends_at)
         if self.is_counted:
             self.until = self._ends_at
 
-    def confirm(self, number: int) -> None:
+    def confirm(self, number: int) -> bool:
         """Records that the others count this node.
 
         Args:
-          number: The lease under which they were asked; nothing changes if
-            another one has begun since.
+          number: The lease under which they were asked.
+
+        Returns:
+          False if that lease has ended since; nothing changes then.
         """
-        if number == self._number:
-            self.is_counted = True
-            self.until = self._ends_at
+        if not self._is_running or number != self._number:
+            return False
+        self.is_counted = True
+        self.until = self._ends_at
+        return True
--- a/tests/mesh/test_rate_leases.py
+++ b/tests/mesh/test_rate_leases.py
@@ -232,7 +232,9 @@
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
-            strategies.sampled_from(["begin", "renew", "confirm", "late"]),
+            strategies.sampled_from(
+                ["begin", "renew", "end", "confirm", "confirm late"]
+            ),
             strategies.floats(0.0, 3.0),
         ),
         max_size=30,
@@ -246,22 +248,27 @@
     counted_until = -float("inf")
     ends_at = -float("inf")
     is_counted = False
+    is_running = False
     earlier = 0
     for kind, span_s in steps:
         now += span_s
         if kind == "begin":
             earlier = lease.number
             ends_at = now + _LEASE_S
-            is_counted = False
+            is_running, is_counted = True, False
             lease.begin(ends_at)
         elif kind == "renew":
-            ends_at = max(ends_at, now + _LEASE_S)
+            if is_running:
+                ends_at = max(ends_at, now + _LEASE_S)
             lease.renew(now + _LEASE_S)
+        elif kind == "end":
+            is_running = is_counted = False
+            lease.end()
         elif kind == "confirm":
-            is_counted = True
-            lease.confirm(lease.number)
+            is_counted = is_running
+            assert lease.confirm(lease.number) is is_running
         elif earlier != lease.number:
-            lease.confirm(earlier)
+            assert not lease.confirm(earlier)
         if is_counted:
             counted_until = ends_at
         assert lease.until == counted_until
