Mend what a last reading of the change found

A rejected node hashed all nodes for each renewal through a peer, twice a second while no peer answers; it uses the links that it has chosen already. Two test modules had the same load, and two admission modules the same fading counts: each is one piece now. A renewal that is refused for its era no longer raises an error to itself.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/lease_renewal.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/lease_renewal.py
@@ -12,7 +12,6 @@
 from sassafras_base import hashing
 from sassafras_node.mesh import interfaces
 from sassafras_node.mesh import runtime as runtimes
-from sassafras_policy.mesh import linking
 from sassafras_wire.mesh import link_messages
 from sassafras_wire.store import client as store_client
 
@@ -50,11 +49,11 @@
     def __init__(self, runtime: runtimes.Runtime) -> None:
         self._runtime = runtime
         self._is_renewed = False
-        self._is_refused = False
+        self._is_failing = False
 
     def end(self) -> None:
         """Records that the store answers this node."""
-        self._is_renewed = self._is_refused = False
+        self._is_renewed = self._is_failing = False
 
     async def renew(self) -> interfaces.Lease | None:
         """Asks nodes that reach the store, one after the other.
@@ -75,25 +74,19 @@
             if lease is not None:
                 if not self._is_renewed:
                     lease_renewed_by_peer(node_id)
-                self._is_renewed, self._is_refused = True, False
+                self._is_renewed, self._is_failing = True, False
                 return lease
-        if not self._is_refused:
+        if not self._is_failing:
             lease_not_renewed(",".join(asked), error)
-        self._is_renewed, self._is_refused = False, True
+        self._is_renewed, self._is_failing = False, True
         return None
 
 
 def _candidates(runtime: runtimes.Runtime) -> list[str]:
-    """Returns nodes with a link to this one that reach the store."""
-    linked = linking.choose(
-        runtime.entry,
-        runtime.fleet.entries,
-        runtime.unusable_readers,
-        needs_all=runtime.rates.divides_by_demand,
-    )
+    """Returns linked nodes that reach the store."""
     return hashing.rendezvous(
         runtime.settings.host.node_id,
-        linked - runtime.unusable_readers,
+        runtime.linked - runtime.unusable_readers,
         _MAX_ATTEMPTS,
     )
 
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -223,19 +223,19 @@
 ) -> models.Message:
     """Renews the lease of a node that the store does not answer."""
     assert isinstance(message, link_messages.RenewLease)
+    not_renewed = link_messages.LeaseRenewal(
+        number=message.number, is_answered=False
+    )
+    if message.era != runtime.store_era.era:
+        # The lease may be that of another node by now.
+        renewal_for_peer_failed(f"it is of era {message.era}")
+        return not_renewed
     try:
-        if message.era != runtime.store_era.era:
-            # The lease may be that of another node by now.
-            raise store_client.StoreUnavailableError(
-                "lease.renew", "store", f"lease is of era {message.era}"
-            )
         renewed = await runtime.platform.store.renew_lease(message.lease)
         store_eras.note(runtime, renewed.era, None, "lease.renew")
     except store_client.StoreUnavailableError as error:
         renewal_for_peer_failed(str(error))
-        return link_messages.LeaseRenewal(
-            number=message.number, is_answered=False
-        )
+        return not_renewed
     return link_messages.LeaseRenewal(
         number=message.number,
         is_answered=True,
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/supervisor.py
@@ -133,7 +133,7 @@
     """Chooses readers, links and owners of token pools for the known nodes."""
     _update_readers(runtime)
     runtime.configure_limiter()
-    linked = linking.choose(
+    runtime.linked = linking.choose(
         runtime.entry,
         runtime.fleet.entries,
         runtime.unusable_readers,
@@ -145,7 +145,7 @@
             f"{entry.node_id}/{entry.incarnation}": functools.partial(
                 link.run, runtime, entry
             )
-            for entry in map(runtime.fleet.get, sorted(linked))
+            for entry in map(runtime.fleet.get, sorted(runtime.linked))
             if entry is not None
         },
     )
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -116,6 +116,7 @@
       entry_stored: Set and replaced when the entry has been written.
       readers: Which nodes of the zone read the store for the others.
       unusable_readers: Nodes that cannot be reached or do not reach the store.
+      linked: Nodes to which this one keeps control links.
       reaches_store: Whether the last call to the store was answered.
       is_watching_members: Whether this node has the newest entries itself.
       members: The entries that it has read, for the nodes of its zone.
@@ -221,6 +222,7 @@
             settings.host.node_id, (settings.host.node_id,)
         )
         self.unusable_readers: set[str] = set()
+        self.linked: set[str] = set()
         self.reaches_store = True
         self.is_watching_members = False
         self.members = members_relay.MembersRelay()
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/own_entry.py
@@ -88,17 +88,21 @@
     A lease and a revision belong to one era of the store. After the store has
     come back from a copy, both stay in use only if the copy has the entry.
     """
-    granted = await _grant_lease(runtime)
+    entry_lease = await _grant_lease(runtime)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
-            _keep_renewed, runtime, granted, outage_log, nursery.cancel_scope
+            _keep_renewed,
+            runtime,
+            entry_lease,
+            outage_log,
+            nursery.cancel_scope,
         )
-        await _keep_written(runtime, granted, outage_log)
+        await _keep_written(runtime, entry_lease, outage_log)
         nursery.cancel_scope.cancel()
 
 
 @dataclasses.dataclass(slots=True)
-class _Granted:
+class _EntryLease:
     """The lease of the entry.
 
     Attributes:
@@ -110,22 +114,20 @@
     length_s: float
     ends_at: float
 
-    def extend(self, sent_at: float) -> None:
-        """Records that a renewal was answered that was sent at a time."""
-        self.ends_at = max(self.ends_at, sent_at + self.length_s)
 
-
-async def _grant_lease(runtime: runtimes.Runtime) -> _Granted:
+async def _grant_lease(runtime: runtimes.Runtime) -> _EntryLease:
     sent_at = runtime.clock.now_with_suspend()
     lease = await runtime.platform.store.grant_lease(runtime.lease_s)
     store_eras.note(runtime, lease.era, None, "entry")
     runtime.lease, runtime.lease_era = lease.number, lease.era
     length_s = min(runtime.lease_s, lease.length_s)
-    return _Granted(length_s, sent_at + length_s)
+    return _EntryLease(length_s, sent_at + length_s)
 
 
 async def _keep_written(
-    runtime: runtimes.Runtime, granted: _Granted, outage_log: outages.OutageLog
+    runtime: runtimes.Runtime,
+    entry_lease: _EntryLease,
+    outage_log: outages.OutageLog,
 ) -> None:
     """Writes the entry at each change until it or its lease is gone.
 
@@ -166,12 +168,14 @@
                 return
             revision = position.revision
             if written is None:
-                runtime.begin_lease(granted.ends_at)
+                runtime.begin_lease(entry_lease.ends_at)
             written = _Written(entry.number, value)
             runtime.record_stored_entry(entry.number, position)
             outage_log.record_success()
             entry_written(revision, _state(runtime))
-        await _wait(runtime, changed, granted.length_s / _RENEWALS_PER_LEASE)
+        await _wait(
+            runtime, changed, entry_lease.length_s / _RENEWALS_PER_LEASE
+        )
         if runtime.own_entry_removed.is_set():
             return
 
@@ -214,7 +218,7 @@
 
 async def _keep_renewed(
     runtime: runtimes.Runtime,
-    granted: _Granted,
+    entry_lease: _EntryLease,
     outage_log: outages.OutageLog,
     scope: trio.CancelScope,
 ) -> None:
@@ -223,10 +227,10 @@
     A renewal costs the store less than a new lease and a write. It does not
     wait for writes: while the store rejects this node, other nodes renew.
     """
-    interval_s = granted.length_s / _RENEWALS_PER_LEASE
+    interval_s = entry_lease.length_s / _RENEWALS_PER_LEASE
     peers = lease_renewal.PeerRenewals(runtime)
     while True:
-        due_at = granted.ends_at - granted.length_s + interval_s
+        due_at = entry_lease.ends_at - entry_lease.length_s + interval_s
         while (left_s := due_at - runtime.clock.now_with_suspend()) > 0:
             await trio.sleep(min(left_s, _SUSPEND_CHECK_S))
         era = runtime.lease_era
@@ -241,8 +245,8 @@
         if lease is None or lease.era != era:
             await trio.sleep(_RETRY_S)
         elif lease.number == runtime.lease:
-            granted.extend(sent_at)
-            runtime.renew_lease(granted.ends_at)
+            entry_lease.ends_at = sent_at + entry_lease.length_s
+            runtime.renew_lease(entry_lease.ends_at)
         else:
             scope.cancel()
             return
--- a/packages/sassafras-policy/src/sassafras_policy/admission/levels.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/levels.py
@@ -10,6 +10,7 @@
 import math
 
 from sassafras_policy.admission import priorities
+from sassafras_policy.admission import rank_counts
 from sassafras_policy.calls import messages
 
 _MIN_WINDOW_S = 0.1
@@ -26,8 +27,6 @@
 _MIN_SHED = 0.02
 _MAX_SHED = 0.25
 _HISTORY_DECAY = 0.9
-# Arrivals of a rank that have decayed to less than this are forgotten.
-_MIN_ARRIVALS = 1e-6
 # First step of a level that loosens, as a part of the buckets that it admits
 # of its class. Under 17-fold load, as with unbudgeted retries, seven buckets
 # are the whole capacity, and steps of one bucket made the level oscillate.
@@ -136,11 +135,7 @@
         elif mean_wait_s < _WAIT_LOW_S:
             self._loosen(span_s)
         self._update_level()
-        self._arrivals = {
-            rank: count * _HISTORY_DECAY
-            for rank, count in self._arrivals.items()
-            if count * _HISTORY_DECAY >= _MIN_ARRIVALS
-        }
+        self._arrivals = rank_counts.faded(self._arrivals, _HISTORY_DECAY)
         self._window_start = now
         self._calls = 0
         self._drops = 0
--- a/packages/sassafras-policy/src/sassafras_policy/admission/processor.py
+++ b/packages/sassafras-policy/src/sassafras_policy/admission/processor.py
@@ -7,6 +7,7 @@
 """
 
 from sassafras_policy.admission import priorities
+from sassafras_policy.admission import rank_counts
 
 # A process that was frozen is late once, by any time.
 _MAX_LAG_S = 0.2
@@ -22,8 +23,6 @@
 _GROWTH_PER_S = 0.6
 _GROWTH_INCREASE_PER_S2 = 0.2
 _HISTORY_S = 1.0
-# Arrivals of a rank that have decayed to less than this are forgotten.
-_MIN_ARRIVALS = 1e-6
 
 
 class ProcessorAdmission:
@@ -78,11 +77,7 @@
         self._level = self._level_for_share()
         if self._share < 1.0:
             kept = max(0.0, 1.0 - span_s / _HISTORY_S)
-            self._arrivals = {
-                rank: count * kept
-                for rank, count in self._arrivals.items()
-                if count * kept >= _MIN_ARRIVALS
-            }
+            self._arrivals = rank_counts.faded(self._arrivals, kept)
         else:
             self._arrivals.clear()
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -219,11 +219,12 @@
             return _UNKNOWN_ORGANISATION_WAIT_S
         pool = self._pools.get(organisation)
         wait_s = super().available_in_s(organisation, waiting, now)
-        if pool is not None and now >= self._held_until:
+        if pool is None:
+            next_request_in_s = max(client.next_request_at - now, 0.0)
+            return min(wait_s, next_request_in_s + _BATCH_S)
+        if now >= self._held_until:
             return wait_s
-        if pool is not None:
-            return min(wait_s, pool.available_in_s(waiting + 1, now))
-        return min(wait_s, max(client.next_request_at - now, 0.0) + _BATCH_S)
+        return min(wait_s, pool.available_in_s(waiting + 1, now))
 
     def is_worth_waiting(
         self, organisation: str, waiting: int, max_wait_s: float, now: float
--- a/tests/common/store_fleet.py
+++ b/tests/common/store_fleet.py
@@ -309,16 +309,15 @@
                 await changed.wait()
 
     def _linked(self, node):
+        node.linked = linking.choose(
+            node.entry,
+            node.fleet.entries,
+            node.unusable_readers,
+            needs_all=self.links_all or node.rates.divides_by_demand,
+        )
         if self.links_all:
             return [entry.node_id for entry in node.fleet.entries]
-        return sorted(
-            linking.choose(
-                node.entry,
-                node.fleet.entries,
-                node.unusable_readers,
-                needs_all=node.rates.divides_by_demand,
-            )
-        )
+        return sorted(node.linked)
 
     async def _ping_others(self, name, node):
         links = {}
--- a/tests/mesh/test_rate_division.py
+++ b/tests/mesh/test_rate_division.py
@@ -6,15 +6,9 @@
 import pytest
 import trio
 
+from common import rate_load
 from common import store_fleet
 
-_RATE_PER_S = 60.0
-_BURST = 60.0
-_WINDOW_S = 5.0
-# (rate x window + burst) x 1.1 + 20: QuotaWindowS, QuotaOver and QuotaSlack of
-# documents.boot_file.
-_MAX_IN_WINDOW = (_RATE_PER_S * _WINDOW_S + _BURST) * 1.1 + 20
-_ORGANISATION = "acme"
 _AWAY_S = 4.5
 _SETTLE_S = 4.0
 _AFTER_S = 12.0
@@ -22,50 +16,6 @@
 _GONE_AFTER_S = 9.0
 
 
-class _Load:
-    """Requests of one organisation at all nodes that are ready.
-
-    Attributes:
-      per_s: Requests a second.
-      admitted: When requests were admitted.
-      refused: When requests were refused by their rate.
-      begins: Set when requests begin.
-    """
-
-    def __init__(self, fleet, per_s, seed=1):
-        self.admitted = []
-        self.refused = []
-        self.begins = trio.Event()
-        self._fleet = fleet
-        self.per_s = per_s
-        self._rng = random.Random(seed)
-
-    async def run(self):
-        await self.begins.wait()
-        async with trio.open_nursery() as nursery:
-            while True:
-                ready = [n for n in self._fleet.nodes.values() if n.is_ready]
-                if ready:
-                    nursery.start_soon(self._send, self._rng.choice(ready))
-                await trio.sleep(self._rng.expovariate(self.per_s))
-
-    async def _send(self, node):
-        if await node.limit_gate.admit(_ORGANISATION) is None:
-            self.admitted.append(trio.current_time())
-        else:
-            self.refused.append(trio.current_time())
-
-    @property
-    def max_in_window(self):
-        first = 0
-        most = 0
-        for count, at in enumerate(self.admitted, 1):
-            while self.admitted[first] <= at - _WINDOW_S:
-                first += 1
-            most = max(most, count - first)
-        return most
-
-
 async def _start(fleet, names):
     for name in names:
         await fleet.start_node(name)
@@ -143,8 +93,10 @@
     """Returns the load, and when the fleet had its last change."""
     names = [f"node-{number}" for number in range(hosts)]
     async with store_fleet.running(None) as fleet:
-        fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_BURST)
-        load = _Load(fleet, per_s)
+        fleet.configure(
+            2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+        )
+        load = rate_load.RateLoad(per_s, rate_load.any_ready(fleet))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load.run)
             await way(fleet, names, load.begins)
@@ -158,17 +110,21 @@
 @pytest.mark.parametrize("way", _WAYS)
 def test_nodes_that_start_together_admit_no_more_than_the_rate(way, hosts):
     """Guards against nodes that each use the whole of a rate (QUOTA)."""
-    load, _ = store_fleet.run(_play, way, hosts, 4.6 * _RATE_PER_S)
-    assert load.max_in_window <= _MAX_IN_WINDOW
+    load, _ = store_fleet.run(_play, way, hosts, 4.6 * rate_load.RATE_PER_S)
+    assert load.max_in_window <= rate_load.MAX_IN_WINDOW
 
 
 @pytest.mark.parametrize("hosts", [1, 5])
 @pytest.mark.parametrize("way", _WAYS)
 def test_the_whole_rate_is_served_after_nodes_came_or_went(way, hosts):
     """Guards against a bound that is kept by refusing what is within it."""
-    load, returned_at = store_fleet.run(_play, way, hosts, 4.6 * _RATE_PER_S)
+    load, returned_at = store_fleet.run(
+        _play, way, hosts, 4.6 * rate_load.RATE_PER_S
+    )
     served = [at for at in load.admitted if at >= returned_at + _GONE_AFTER_S]
-    assert len(served) >= 0.95 * _RATE_PER_S * (_AFTER_S - _GONE_AFTER_S)
+    assert len(served) >= 0.95 * rate_load.RATE_PER_S * (
+        _AFTER_S - _GONE_AFTER_S
+    )
 
 
 def test_rates_are_kept_as_a_fleet_begins_to_divide_them():
@@ -180,19 +136,23 @@
     async def play():
         names = [f"node-{number}" for number in range(18)]
         async with store_fleet.running(None) as fleet:
-            fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_BURST)
-            load = _Load(fleet, 0.5 * _RATE_PER_S)
+            fleet.configure(
+                2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+            )
+            load = rate_load.RateLoad(
+                0.5 * rate_load.RATE_PER_S, rate_load.any_ready(fleet)
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(load.run)
                 await _settle(fleet, names, load.begins)
                 await fleet.stop_node(names[0])
                 # The burst of the pool is left, and is spent with the shares.
-                load.per_s = 4.6 * _RATE_PER_S
+                load.per_s = 4.6 * rate_load.RATE_PER_S
                 await trio.sleep(_AFTER_S)
                 nursery.cancel_scope.cancel()
         return load
 
-    assert store_fleet.run(play).max_in_window <= _MAX_IN_WINDOW
+    assert store_fleet.run(play).max_in_window <= rate_load.MAX_IN_WINDOW
 
 
 def test_at_most_one_node_owns_a_pool_at_any_time():
@@ -201,7 +161,9 @@
     async def count_owners():
         owners = []
         async with store_fleet.running(None) as fleet:
-            fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_BURST)
+            fleet.configure(
+                2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+            )
             rng = random.Random(1)
             async with trio.open_nursery() as nursery:
 
--- a/tests/mesh/test_rate_leases.py
+++ b/tests/mesh/test_rate_leases.py
@@ -8,6 +8,7 @@
 import trio
 
 from common import mesh_fleet
+from common import rate_load
 from common import store_fleet
 from common import waiting
 from sassafras_base import hashing
@@ -18,66 +19,15 @@
 from sassafras_policy.mesh import rate_lease
 from sassafras_standins.fleet import launcher
 
-_RATE_PER_S = 60.0
-_BURST = 60.0
-_WINDOW_S = 5.0
-# (rate x window + burst) x 1.1 + 20: QuotaWindowS, QuotaOver and QuotaSlack of
-# documents.boot_file.
-_MAX_IN_WINDOW = (_RATE_PER_S * _WINDOW_S + _BURST) * 1.1 + 20
-_ORGANISATION = "acme"
 _LEASE_S = 6.0
 _SETTLE_S = 4.0
 _BEFORE_S = 6.0
 _AFTER_S = 12.0
 
 
-class _Load:
-    """Requests of one organisation at chosen nodes.
-
-    Attributes:
-      admitted: Times of admitted requests.
-      refused: The same of refused ones.
-    """
-
-    def __init__(self, fleet, per_s):
-        self.admitted = []
-        self.refused = []
-        self._fleet = fleet
-        self._per_s = per_s
-        self._rng = random.Random(1)
-
-    async def run(self):
-        async with trio.open_nursery() as nursery:
-            while True:
-                names = list(self._per_s)
-                (name,) = self._rng.choices(names, list(self._per_s.values()))
-                node = self._fleet.nodes.get(name)
-                if node is not None and node.is_ready:
-                    nursery.start_soon(self._send, node)
-                total_per_s = sum(self._per_s.values())
-                await trio.sleep(self._rng.expovariate(total_per_s))
-
-    async def _send(self, node):
-        is_admitted = await node.limit_gate.admit(_ORGANISATION) is None
-        times = self.admitted if is_admitted else self.refused
-        times.append(trio.current_time())
-
-    @property
-    def max_in_window(self):
-        first = most = 0
-        for count, at in enumerate(self.admitted, 1):
-            while self.admitted[first] <= at - _WINDOW_S:
-                first += 1
-            most = max(most, count - first)
-        return most
-
-    def refused_between(self, begin, end):
-        return sum(begin <= at < end for at in self.refused)
-
-
 def _ranked(names):
     """Returns the nodes in the order in which they would own the pool."""
-    return hashing.rendezvous(_ORGANISATION, names, len(names))
+    return hashing.rendezvous(rate_load.ORGANISATION, names, len(names))
 
 
 async def _reject_owner(fleet, ranked, span_s):
@@ -146,14 +96,18 @@
     names = [f"node-{number:02}" for number in range(hosts)]
     ranked = _ranked(names)
     async with store_fleet.running(None, links_all=False) as fleet:
-        fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_BURST)
+        fleet.configure(
+            2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+        )
         for name in names:
             await fleet.start_node(name)
         await trio.sleep(_SETTLE_S)
         # Half of the callers use the owner of the pool.
-        per_s = dict.fromkeys(names, 0.5 * pressure * _RATE_PER_S / hosts)
-        per_s[ranked[0]] += 0.5 * pressure * _RATE_PER_S
-        load = _Load(fleet, per_s)
+        per_s = pressure * rate_load.RATE_PER_S
+        weights = dict.fromkeys(names, 0.5 / hosts)
+        weights[ranked[0]] += 0.5
+        load = rate_load.RateLoad(per_s, rate_load.weighted(fleet, weights))
+        load.begins.set()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load.run)
             await trio.sleep(_BEFORE_S)
@@ -175,7 +129,7 @@
     beside the one that took over.
     """
     load, _, _ = store_fleet.run(_play, way, hosts, span_s, 2.3)
-    assert load.max_in_window <= _MAX_IN_WINDOW
+    assert load.max_in_window <= rate_load.MAX_IN_WINDOW
 
 
 @pytest.mark.parametrize("hosts", [5, 20])
@@ -197,7 +151,9 @@
         names = [f"node-{number:02}" for number in range(20)]
         users = []
         async with store_fleet.running(None, links_all=False) as fleet:
-            fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_BURST)
+            fleet.configure(
+                2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+            )
             for name in names:
                 await fleet.start_node(name)
             await trio.sleep(_SETTLE_S)
