Show which node is asked for tokens, and requests that reach the wrong one

The logs do not tell a pool that is empty from a node that owns no pool.

Change: event 821 has the number of nodes that the node counts and the pool's owner in its view. The gauge `members_revision` shows a node that stays behind.

Not measured: no decision changes.

--- a/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/callers/readiness.py
@@ -64,6 +64,10 @@
                 runtime.store_era.era,
             ),
             "peers": ("Other nodes known.", len(runtime.fleet)),
+            "members_revision": (
+                "Revision of the store up to which all entries are known.",
+                runtime.members.revision,
+            ),
             "owned_pools": (
                 "Organisations for which this node owns the token pool.",
                 runtime.limiter.owned_pools,
--- a/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/calls/entry.py
@@ -38,12 +38,15 @@
     held: float,
     demand_per_s: float,
     fleet_demand_per_s: float,
+    nodes: int,
+    pool_owner: str,
 ) -> str:
     """A request was refused because its organisation is over its rate.
 
     `share_per_s` is this node's part of the rate, `held` the tokens left. Where
     the share is 0, the whole rate is in a pool at one node, and
-    `fleet_demand_per_s` counts this node only.
+    `fleet_demand_per_s` counts this node only. `pool_owner` follows from the
+    `nodes` that this one counts; one that counts others asks another owner.
     """
     return f"request {request_id} over the rate of {organisation}"
 
@@ -179,6 +182,8 @@
         round(share.held, 2),
         round(share.demand_per_s, 2),
         round(share.fleet_demand_per_s, 2),
+        len(runtime.fleet) + 1,
+        share.pool_owner,
     )
     return messages.refusal(
         outcomes.Reason.ORGANISATION_LIMIT,
--- a/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/measurements.py
@@ -17,6 +17,8 @@
     "room_refusals": "Requests refused at their first node, by the service"
     " without room.",
     "calls": "Calls of other nodes, by their end.",
+    "token_requests": "Requests of other nodes for tokens, by their end."
+    " `no-pool` tells that the other node counts other nodes.",
     "withheld_calls": "Calls not sent to the target beside, by the reason.",
     "connections_closed": "Connections closed to make room, by what was full.",
     "connections_refused": "Connections refused or ended for a request that"
--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -214,6 +214,13 @@
     grant = runtime.limit_gate.grant_tokens(
         message.organisation, message.wanted
     )
+    if not grant.has_pool:
+        outcome = "no-pool"
+    elif grant.granted < message.wanted:
+        outcome = "short"
+    else:
+        outcome = "granted"
+    runtime.measurements.count("token_requests", outcome)
     return converters.grant_to_message(message.number, grant)
 
 
--- a/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/limiters.py
@@ -55,12 +55,15 @@
       held: Tokens that it can spend now.
       demand_per_s: Requests a second at this node; 0 when not counted.
       fleet_demand_per_s: Requests a second at all nodes that reported theirs.
+      pool_owner: The node that this one asks for tokens, or itself; empty for
+        none.
     """
 
     rate_per_s: float = 0.0
     held: float = 0.0
     demand_per_s: float = 0.0
     fleet_demand_per_s: float = 0.0
+    pool_owner: str = ""
 
 
 class Limiter(Protocol):
--- a/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/pooled_share.py
@@ -128,6 +128,14 @@
         self._clients = clients
         self._pools = pools
 
+    def share(self, organisation: str, now: float) -> limiters.ShareState:
+        """See Limiter."""
+        state = super().share(organisation, now)
+        client = self._clients.get(organisation)
+        if client is None:
+            return state
+        return dataclasses.replace(state, pool_owner=client.owner)
+
     def restart(self, now: float) -> None:
         """See Limiter."""
         super().restart(now)
@@ -270,7 +278,7 @@
         if pool is None or now >= self._held_until:
             # While a node starts, or has lost its lease, others may take it for
             # the owner.
-            return transfers.Grant(0.0, 0.0, _BATCH_S)
+            return transfers.Grant(0.0, 0.0, _BATCH_S, has_pool=False)
         granted = 0
         while granted < wanted and pool.take(now):
             granted += 1
--- a/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/static_share.py
@@ -168,7 +168,9 @@
     ) -> transfers.Grant:
         """See Limiter; nodes with another limiter configured get nothing."""
         del organisation, wanted, waiting, now
-        return transfers.Grant(0.0, 0.0, _UNKNOWN_ORGANISATION_WAIT_S)
+        return transfers.Grant(
+            0.0, 0.0, _UNKNOWN_ORGANISATION_WAIT_S, has_pool=False
+        )
 
     def receive(
         self,
--- a/packages/sassafras-policy/src/sassafras_policy/limits/transfers.py
+++ b/packages/sassafras-policy/src/sassafras_policy/limits/transfers.py
@@ -32,8 +32,11 @@
       lifetime_s: Seconds within which they must be spent, counted by the
         receiver from the time at which it sent its request.
       next_request_in_s: Seconds to wait before the next request; 0 for none.
+      has_pool: Whether the holder has tokens to grant at all. A node that
+        counts other nodes than the holder may ask the wrong one.
     """
 
     granted: float
     lifetime_s: float
     next_request_in_s: float
+    has_pool: bool = True
