Pass on the entries of all nodes from every node that has them

Requests there ended with `no-target` or, as the wrong node was asked for tokens, with 429.

Cause: a node reads the list of nodes once, and gets later changes from the node that reads the store for its zone. It finds that one by its own list. Nodes that had read before the reader wrote its entry asked others of the zone, which had all entries but passed on none, as they did not read the store themselves. The class: a view that only its own contents can lead to a correction.

Change: every node answers a ping with the entries that it has, if they are newer than those of the other node. A position in the store is that of a complete list, whoever passes it on. Each node asks one that ranks before it in its own list, and the first in its own list reads the store, so changes reach all.

--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -299,9 +299,10 @@
         if it does not ask for them.
     """
     members = _NO_MEMBERS
+    # The other node may not know the reader of the zone yet, so each node passes
+    # on what it has.
     if (
         members_position is not None
-        and runtime.is_watching_members
         and members_position < runtime.members.position
     ):
         members = runtime.members.after(
--- a/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/runtime.py
@@ -118,7 +118,6 @@
       unusable_readers: Nodes that cannot be reached or do not reach the store.
       linked: Nodes to which this one keeps control links.
       reaches_store: Whether the last call to the store was answered.
-      is_watching_members: Whether this node has the newest entries itself.
       members: The entries that it has read, for the nodes of its zone.
       members_read: Set when the entries and records of all nodes have been
         read once.
@@ -224,7 +223,6 @@
         self.unusable_readers: set[str] = set()
         self.linked: set[str] = set()
         self.reaches_store = True
-        self.is_watching_members = False
         self.members = members_relay.MembersRelay()
         self.entry_changed = trio.Event()
         self.relay_changed = trio.Event()
--- a/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/store/members.py
@@ -67,14 +67,12 @@
                 if runtime.readers.is_reader:
                     position = await _await_changes(runtime, position)
                 else:
-                    runtime.is_watching_members = False
                     await trio.sleep(_ROLE_CHECK_S)
                     position = max(position, runtime.members.position)
         except interfaces.HistoryLostError:
             # All entries are read instead of the changes.
             continue
         except store_client.StoreUnavailableError as error:
-            runtime.is_watching_members = False
             outage_log.record_failure(error)
             await trio.sleep(_RETRY_S)
 
@@ -83,7 +81,6 @@
     runtime: runtimes.Runtime, position: eras.Position
 ) -> eras.Position:
     """Applies the changes since a position; returns the next one."""
-    runtime.is_watching_members = True
     listing = await store_eras.changes(
         runtime, entries.PREFIX, position, _WAIT_S
     )
