--- a/tests/mesh/test_members_spread.py
+++ b/tests/mesh/test_members_spread.py
@@ -5,11 +5,11 @@
 import pytest
 import trio
 
+from common import rate_load
 from common import store_fleet
 
 # `CatchUpS` of the deployments.
 _CATCH_UP_S = 4.0
-_RATE_PER_S = 60.0
 
 
 async def _start(fleet, names, rng, span_s):
@@ -35,7 +35,9 @@
 async def _check_start(seed, size, span_s):
     rng = random.Random(seed)
     async with store_fleet.running(links_all=False) as fleet:
-        fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_RATE_PER_S)
+        fleet.configure(
+            2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+        )
         await _start(fleet, [f"node-{n}" for n in range(size)], rng, span_s)
         await store_fleet.until(lambda: _know_each_other(fleet), _CATCH_UP_S)
         await store_fleet.until(lambda: _owned_pools(fleet) == 1, _CATCH_UP_S)
@@ -56,7 +58,9 @@
 async def _check_changes(seed):
     rng = random.Random(seed)
     async with store_fleet.running(links_all=False) as fleet:
-        fleet.configure(2, rate_per_s=_RATE_PER_S, burst=_RATE_PER_S)
+        fleet.configure(
+            2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+        )
         await _start(fleet, [f"node-{n}" for n in range(40)], rng, 0.5)
         await trio.sleep(_CATCH_UP_S)
         for round_number in range(3):
@@ -77,3 +81,32 @@
 def test_nodes_learn_of_those_that_come_and_go(seed):
     """Guards against calls to targets that were replaced long ago (SHORT)."""
     store_fleet.run(_check_changes, seed)
+
+
+async def _most_admitted(seed, size, span_s):
+    """Returns the most admitted in a window while a fleet starts."""
+    rng = random.Random(seed)
+    async with store_fleet.running(links_all=False) as fleet:
+        fleet.configure(
+            2, rate_per_s=rate_load.RATE_PER_S, burst=rate_load.BURST
+        )
+        load = rate_load.RateLoad(
+            4.6 * rate_load.RATE_PER_S, rate_load.any_ready(fleet), seed
+        )
+        load.begins.set()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load.run)
+            await _start(fleet, [f"node-{n}" for n in range(size)], rng, span_s)
+            await trio.sleep(_CATCH_UP_S + 2 * rate_load.WINDOW_S)
+            nursery.cancel_scope.cancel()
+        return load.max_in_window
+
+
+@pytest.mark.parametrize(
+    ("seed", "size", "span_s"),
+    [(0, 30, 0.3), (1, 60, 0.5), (0, 60, 0.5), (0, 60, 3.0), (1, 60, 3.0)],
+)
+def test_nodes_with_few_links_keep_the_rate_as_they_start(seed, size, span_s):
+    """Guards against nodes that divide a rate by too few others (QUOTA)."""
+    most = store_fleet.run(_most_admitted, seed, size, span_s)
+    assert most <= rate_load.MAX_IN_WINDOW
