--- a/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
+++ b/packages/sassafras-node/src/sassafras_node/mesh/peers/link_session.py
@@ -299,8 +299,8 @@
         if it does not ask for them.
     """
     members = _NO_MEMBERS
-    # The other node may not know the reader of the zone yet, so each node passes
-    # on what it has.
+    # The other node may not know the reader of the zone yet, so it is answered
+    # by each node that has newer entries.
     if (
         members_position is not None
         and members_position < runtime.members.position
